--- /dev/null
+++ b/mulberryswitch/contracts/_codec.py
@@ -0,0 +1,172 @@
+"""Typed msgpack encoding of dataclasses as tagged arrays."""
+
+from __future__ import annotations
+
+import types
+from collections.abc import Callable, Mapping
+from dataclasses import fields, is_dataclass
+from typing import Any, get_args, get_origin, get_type_hints
+
+import msgpack
+
+from ._codes import ResultCode
+
+__all__ = ["Codec", "DecodeError"]
+
+MAX_INTEGER = 2**63 - 1
+MAX_TEXT_CHARS = 4096
+
+
+class DecodeError(ValueError):
+    """Bytes from outside that are no valid message.
+
+    Attributes
+    ----------
+    code : ResultCode
+        ``MALFORMED_PACKET`` or ``OVERSIZED_PACKET``.
+    """
+
+    def __init__(self, message: str, code: ResultCode = ResultCode.MALFORMED_PACKET):
+        super().__init__(message)
+        self.code = code
+
+
+def _check_integer(value: Any) -> int:
+    if type(value) is not int or not 0 <= value <= MAX_INTEGER:
+        raise DecodeError(f"expected an integer from 0 to 2**63-1, got {value!r:.60}")
+    return value
+
+
+def _check_text(value: Any) -> str:
+    if type(value) is not str or len(value) > MAX_TEXT_CHARS:
+        raise DecodeError(f"expected text of at most {MAX_TEXT_CHARS} characters")
+    return value
+
+
+def _build_plain_check(kind: type) -> Callable[[Any], Any]:
+    def check(value: Any) -> Any:
+        if type(value) is not kind:
+            raise DecodeError(f"expected {kind.__name__}, got {type(value).__name__}")
+        return value
+
+    return check
+
+
+def _build_unpacker(kind: Any) -> Callable[[Any], Any]:
+    """Return a function that checks and converts one unpacked value of type `kind`."""
+    if kind is int:
+        return _check_integer
+    if kind is str:
+        return _check_text
+    if kind in (bytes, bool):
+        return _build_plain_check(kind)
+    if is_dataclass(kind):
+        return _build_record_unpacker(kind)
+    if get_origin(kind) is tuple:
+        return _build_tuple_unpacker(get_args(kind))
+    raise TypeError(f"no encoding for {kind!r}")
+
+
+def _build_tuple_unpacker(args: tuple[Any, ...]) -> Callable[[Any], tuple]:
+    repeated = len(args) == 2 and args[1] is Ellipsis
+    unpackers = [_build_unpacker(arg) for arg in args if arg is not Ellipsis]
+
+    def unpack(value: Any) -> tuple:
+        if type(value) is not list:
+            raise DecodeError(f"expected an array, got {type(value).__name__}")
+        if repeated:
+            return tuple(map(unpackers[0], value))
+        if len(value) != len(unpackers):
+            raise DecodeError(f"expected {len(unpackers)} items, got {len(value)}")
+        return tuple(fn(item) for fn, item in zip(unpackers, value, strict=True))
+
+    return unpack
+
+
+def _build_record_unpacker(cls: type) -> Callable[[Any], Any]:
+    hints = get_type_hints(cls)
+    names = [field.name for field in fields(cls)]
+    unpackers = [_build_unpacker(hints[name]) for name in names]
+    count = len(names)
+
+    def unpack(value: Any) -> Any:
+        if type(value) is not list or len(value) != count:
+            raise DecodeError(f"expected an array of {count} fields for {cls.__name__}")
+        checked = {n: fn(v) for n, fn, v in zip(names, unpackers, value, strict=True)}
+        return cls(**checked)
+
+    return unpack
+
+
+def _pack_value(value: Any) -> Any:
+    if is_dataclass(value):
+        return [_pack_value(getattr(value, field.name)) for field in fields(value)]
+    if isinstance(value, tuple):
+        return [_pack_value(item) for item in value]
+    return value
+
+
+def _build_packer(cls: type) -> Callable[[Any], list]:
+    hints = get_type_hints(cls)
+    names = [field.name for field in fields(cls)]
+    # Records of scalars are the packet path; they skip the recursive conversion.
+    if all(hints[name] in (int, str, bytes, bool) for name in names):
+        return lambda message: [getattr(message, name) for name in names]
+    return _pack_value
+
+
+class Codec:
+    """Encode and decode the message types of one link.
+
+    Parameters
+    ----------
+    kinds : mapping of int to dataclass type
+        Tag on the wire for each message type.
+    max_bytes : int
+        Largest encoded message in bytes.
+    """
+
+    def __init__(self, *, kinds: Mapping[int, type], max_bytes: int):
+        self.kinds = types.MappingProxyType(dict(kinds))
+        self.max_bytes = max_bytes
+        self._tags = {cls: tag for tag, cls in kinds.items()}
+        self._packers = {cls: _build_packer(cls) for cls in kinds.values()}
+        self._unpackers = {tag: _build_record_unpacker(cls) for tag, cls in kinds.items()}
+
+    def encode(self, message: Any) -> bytes:
+        """Return `message` as bytes; raise ``DecodeError`` when it is too large."""
+        cls = type(message)
+        data = msgpack.packb([self._tags[cls], *self._packers[cls](message)])
+        if len(data) > self.max_bytes:
+            raise DecodeError(
+                f"{cls.__name__} of {len(data)} bytes, at most {self.max_bytes}",
+                ResultCode.OVERSIZED_PACKET,
+            )
+        return data
+
+    def decode(self, data: bytes) -> Any:
+        """Return the message in `data`.
+
+        Raises
+        ------
+        DecodeError
+            If the bytes are too many, no msgpack, of unknown type, or hold a wrong field.
+        """
+        if len(data) > self.max_bytes:
+            raise DecodeError(
+                f"{len(data)} bytes, at most {self.max_bytes}", ResultCode.OVERSIZED_PACKET
+            )
+        try:
+            value = msgpack.unpackb(data)
+        except Exception as exc:  # msgpack raises several unrelated types on bad input
+            raise DecodeError(f"no msgpack value: {type(exc).__name__}") from exc
+        return self.decode_value(value)
+
+    def decode_value(self, value: Any) -> Any:
+        """Return the message in an already unpacked `value`; raise ``DecodeError``."""
+        if type(value) is not list or not value or type(value[0]) is not int:
+            raise DecodeError("expected an array that starts with an integer tag")
+        unpack = self._unpackers.get(value[0])
+        if unpack is None:
+            raise DecodeError(f"unknown message tag {value[0]}")
+        return unpack(value[1:])
--- /dev/null
+++ b/mulberryswitch/contracts/_messages.py
@@ -0,0 +1,227 @@
+"""Messages between VMs: peer streams over TCP and membership datagrams over UDP."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from ._codec import Codec
+from ._packets import Packet
+
+__all__ = [
+    "MAX_HOPS",
+    "MAX_PEER_FRAME_BYTES",
+    "MEMBERSHIP_CODEC",
+    "PEER_CODEC",
+    "Ack",
+    "ConfigAnnounce",
+    "ConfigDocument",
+    "ConfigPull",
+    "Declined",
+    "Done",
+    "Forward",
+    "Hello",
+    "MemberState",
+    "MemberUpdate",
+    "Ping",
+    "PingRequest",
+    "Pin",
+    "QueueHandover",
+    "ShardAck",
+    "ShardState",
+]
+
+MAX_HOPS = 3
+MAX_PEER_FRAME_BYTES = 4 * 1024 * 1024
+MAX_MEMBERSHIP_BYTES = 1400  # stays inside one Ethernet frame
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hello:
+    """First message of a peer stream; `mac` is an HMAC over the other fields by the fleet's key."""
+
+    fleet: str
+    vm: str
+    zone: str
+    incarnation: int
+    stamp_ms: int
+    mac: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Forward:
+    """A caller's packet on its way to an owner.
+
+    `version` is the configuration version of the sender, `hops` counts relays, `pinned` names the
+    target of an open flow or is empty.
+    """
+
+    packet: Packet
+    service: str
+    version: int
+    hops: int
+    entry_vm: str
+    entry_zone: str
+    pinned: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Done:
+    """The caller was told the outcome `code` of an attempt."""
+
+    flow: bytes
+    request_id: int
+    attempt: int
+    code: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Declined:
+    """The attempt was not run here and will not be; the entry VM may send it elsewhere."""
+
+    flow: bytes
+    request_id: int
+    attempt: int
+    code: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pin:
+    """A flow whose target is not the pick of the base."""
+
+    flow: bytes
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardState:
+    """Replicated state of a flow shard.
+
+    A `full` state replaces what the standby holds; otherwise `pins` are added and `closed` flows
+    are removed. `sequence` rises by one per message of one owner.
+    """
+
+    service: str
+    shard: int
+    sequence: int
+    full: bool
+    base: tuple[str, ...]
+    pins: tuple[Pin, ...]
+    closed: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardAck:
+    """A standby holds the shard's state up to `sequence`; `missing` asks for a full state."""
+
+    service: str
+    shard: int
+    sequence: int
+    missing: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QueueHandover:
+    """Requests that were never dispatched, handed to the dispatcher in charge."""
+
+    forwards: tuple[Forward, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigAnnounce:
+    """The sender has accepted configuration (`version`, `digest`)."""
+
+    version: int
+    digest: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigPull:
+    """Ask for the accepted configuration; the sender holds (`version`, `digest`)."""
+
+    version: int
+    digest: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigDocument:
+    """An accepted configuration, whole or as a delta to (`base_version`, `base_digest`).
+
+    `base_version` is 0 for a whole document. `tombstones` are (address, service) pairs.
+    """
+
+    version: int
+    digest: bytes
+    base_version: int
+    base_digest: bytes
+    document: bytes
+    tombstones: tuple[tuple[str, str], ...]
+
+
+class MemberState(IntEnum):
+    """State of a VM in the membership view; a higher value wins at equal incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberUpdate:
+    """What one VM says about another; `address` is ``host:port`` for both TCP and UDP."""
+
+    vm: str
+    zone: str
+    address: str
+    incarnation: int
+    state: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ping:
+    """Ask the receiver for an ``Ack``; `about` names the VM it is meant for."""
+
+    sequence: int
+    sender: str
+    about: str
+    updates: tuple[MemberUpdate, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PingRequest:
+    """Ask the receiver to ping VM `about` and to pass on its ``Ack``."""
+
+    sequence: int
+    sender: str
+    about: str
+    updates: tuple[MemberUpdate, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ack:
+    """VM `about` answered the ping `sequence`."""
+
+    sequence: int
+    sender: str
+    about: str
+    updates: tuple[MemberUpdate, ...]
+
+
+PEER_CODEC = Codec(
+    kinds={
+        1: Hello,
+        2: Forward,
+        3: Done,
+        4: Declined,
+        5: ShardState,
+        6: ShardAck,
+        7: QueueHandover,
+        8: ConfigAnnounce,
+        9: ConfigPull,
+        10: ConfigDocument,
+    },
+    max_bytes=MAX_PEER_FRAME_BYTES,
+)
+MEMBERSHIP_CODEC = Codec(
+    kinds={1: Ping, 2: PingRequest, 3: Ack},
+    max_bytes=MAX_MEMBERSHIP_BYTES,
+)
