Check packet kinds on Python 3.11

A plain integer is not accepted by an enum's membership test before Python 3.12, so every packet raised TypeError. The test of the field ranges shows it.

--- a/mulberryswitch/contracts/_packets.py
+++ b/mulberryswitch/contracts/_packets.py
@@ -36,6 +36,9 @@
     CLOSE = 5
 
 
+PACKET_KINDS = frozenset(PacketKind)
+
+
 class ReplyKind(IntEnum):
     """What a packet towards a caller carries."""
 
@@ -116,7 +119,7 @@
 
 def check_packet(packet: Packet) -> Packet:
     """Return `packet` if its field values are in range, else raise ``DecodeError``."""
-    if packet.kind not in PacketKind:
+    if packet.kind not in PACKET_KINDS:
         raise DecodeError(f"unknown packet kind {packet.kind}")
     if not 1 <= len(packet.flow) <= MAX_FLOW_ID_BYTES:
         raise DecodeError(f"flow id of {len(packet.flow)} bytes, expected 1 to 16")
