--- a/mulberryswitch/contracts/_messages.py
+++ b/mulberryswitch/contracts/_messages.py
@@ -19,6 +19,7 @@
     "Done",
     "Forward",
     "Hello",
+    "LeavingTargets",
     "MemberState",
     "MemberUpdate",
     "Ping",
@@ -156,6 +157,13 @@
     tombstones: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingTargets:
+    """Targets that the platform's list names as leaving, as the sender read it last."""
+
+    names: tuple[str, ...]
+
+
 class MemberState(IntEnum):
     """State of a VM in the membership view; a higher value wins at equal incarnation."""
 
@@ -218,6 +226,7 @@
         8: ConfigAnnounce,
         9: ConfigPull,
         10: ConfigDocument,
+        11: LeavingTargets,
     },
     max_bytes=MAX_PEER_FRAME_BYTES,
 )
--- /dev/null
+++ b/mulberryswitch/links/__init__.py
@@ -0,0 +1,66 @@
+"""Links to peers, the fabric, targets and the platform."""
+
+from ._datagrams import DatagramEndpoint
+from ._events import (
+    AttachTarget,
+    ClosePeer,
+    ConfigRead,
+    ConfigReadFailed,
+    DetachTarget,
+    FabricPackets,
+    MemberDatagram,
+    PeerLost,
+    PeerMessages,
+    PeerUnsent,
+    PeerUp,
+    ReadConfig,
+    ReadVmList,
+    TargetFrames,
+    TargetLost,
+    TargetUp,
+    ToFabric,
+    ToMember,
+    ToPeer,
+    ToTarget,
+    VmEntry,
+    VmListRead,
+)
+from ._peers import PeerLinks, sign_hello, verify_hello
+from ._platform import PlatformReader, check_vm_list
+from ._streams import parse_endpoint, read_messages, write_messages
+from ._targets import TargetLinks
+
+__all__ = [
+    "AttachTarget",
+    "ClosePeer",
+    "ConfigRead",
+    "ConfigReadFailed",
+    "DatagramEndpoint",
+    "DetachTarget",
+    "FabricPackets",
+    "MemberDatagram",
+    "PeerLinks",
+    "PeerLost",
+    "PeerMessages",
+    "PeerUnsent",
+    "PeerUp",
+    "PlatformReader",
+    "ReadConfig",
+    "ReadVmList",
+    "TargetFrames",
+    "TargetLinks",
+    "TargetLost",
+    "TargetUp",
+    "ToFabric",
+    "ToMember",
+    "ToPeer",
+    "ToTarget",
+    "VmEntry",
+    "VmListRead",
+    "check_vm_list",
+    "parse_endpoint",
+    "read_messages",
+    "sign_hello",
+    "verify_hello",
+    "write_messages",
+]
--- /dev/null
+++ b/mulberryswitch/links/_events.py
@@ -0,0 +1,198 @@
+"""Events that links report to the node and effects that the node asks of links."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from mulberryswitch.contracts import Target
+
+__all__ = [
+    "AttachTarget",
+    "ClosePeer",
+    "ConfigRead",
+    "ConfigReadFailed",
+    "DetachTarget",
+    "FabricPackets",
+    "MemberDatagram",
+    "PeerLost",
+    "PeerMessages",
+    "PeerUnsent",
+    "PeerUp",
+    "ReadConfig",
+    "ReadVmList",
+    "TargetFrames",
+    "TargetLost",
+    "TargetUp",
+    "ToFabric",
+    "ToMember",
+    "ToPeer",
+    "ToTarget",
+    "VmEntry",
+    "VmListRead",
+]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FabricPackets:
+    """Packets of callers, in the order of arrival."""
+
+    packets: tuple[Any, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerUp:
+    """A peer opened a stream to this VM and proved that it holds the fleet's key."""
+
+    vm: str
+    zone: str
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerMessages:
+    """Messages that arrived from a peer."""
+
+    vm: str
+    messages: tuple[Any, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerUnsent:
+    """Messages that certainly did not leave this VM."""
+
+    vm: str
+    messages: tuple[Any, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerLost:
+    """The stream to a peer broke; messages already written may or may not have arrived."""
+
+    vm: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberDatagram:
+    """A membership datagram and the address it came from."""
+
+    sender: str
+    message: Any
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetUp:
+    """A link to a target is open and the target confirmed its service."""
+
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetFrames:
+    """Frames that arrived from a target."""
+
+    target: str
+    frames: tuple[Any, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLost:
+    """The link to a target broke."""
+
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigRead:
+    """The platform answered a configuration read; `document` is None when nothing is newer."""
+
+    document: bytes | None
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigReadFailed:
+    """The platform did not answer a configuration read."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VmEntry:
+    """One line of the platform's lagging list."""
+
+    vm: str
+    zone: str
+    address: str
+    leaving: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VmListRead:
+    """The platform's list; `entries` is None when the read failed."""
+
+    entries: tuple[VmEntry, ...] | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ToFabric:
+    """Send a reply or an announcement to the fabric."""
+
+    message: Any
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ToPeer:
+    """Send a message to a peer, opening a stream if there is none."""
+
+    vm: str
+    address: str
+    message: Any
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClosePeer:
+    """Close the stream to a peer that is held dead."""
+
+    vm: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ToMember:
+    """Send a membership datagram."""
+
+    address: str
+    message: Any
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttachTarget:
+    """Keep a link to a target open."""
+
+    target: Target
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DetachTarget:
+    """Close the link to a target."""
+
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ToTarget:
+    """Send a frame on an open link to a target."""
+
+    target: str
+    frame: Any
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadConfig:
+    """Read the configuration if newer than `after`, waiting up to `wait_s` seconds."""
+
+    after: int
+    wait_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadVmList:
+    """Read the platform's list of VMs."""
--- /dev/null
+++ b/mulberryswitch/links/_peers.py
@@ -0,0 +1,229 @@
+"""Streams between VMs: one outgoing connection per peer, one server for incoming ones."""
+
+import asyncio
+import contextlib
+import hashlib
+import hmac
+import itertools
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from mulberryswitch.contracts import PEER_CODEC, DecodeError, Hello
+
+from ._events import PeerLost, PeerMessages, PeerUnsent, PeerUp
+from ._streams import parse_endpoint, read_messages, write_messages
+
+__all__ = ["PeerLinks", "sign_hello", "verify_hello"]
+
+CONNECT_TIMEOUT_S = 1.0
+HELLO_TIMEOUT_S = 2.0
+HELLO_MAX_AGE_MS = 60_000
+MAX_QUEUED_MESSAGES = 10_000
+MAX_BATCH_MESSAGES = 256
+
+log = logging.getLogger("peers")
+
+
+def _compute_mac(key: bytes, hello: Hello) -> bytes:
+    text = "\0".join(
+        (hello.fleet, hello.vm, hello.zone, str(hello.incarnation), str(hello.stamp_ms))
+    )
+    return hmac.digest(key, text.encode(), hashlib.sha256)
+
+
+def sign_hello(*, key: bytes, fleet: str, vm: str, zone: str, incarnation: int, now_s: float):
+    """Return a signed ``Hello``."""
+    fields = {"fleet": fleet, "vm": vm, "zone": zone, "incarnation": incarnation}
+    hello = Hello(**fields, stamp_ms=int(now_s * 1000), mac=b"")
+    return Hello(**fields, stamp_ms=hello.stamp_ms, mac=_compute_mac(key, hello))
+
+
+def verify_hello(*, key: bytes, fleet: str, hello: Hello, now_s: float) -> bool:
+    """Return whether `hello` was signed with the fleet's key within the last minute."""
+    fresh = abs(now_s * 1000 - hello.stamp_ms) <= HELLO_MAX_AGE_MS
+    return (
+        fresh and hello.fleet == fleet and hmac.compare_digest(hello.mac, _compute_mac(key, hello))
+    )
+
+
+class PeerLinks:
+    """Owner of all streams to and from peers.
+
+    Parameters
+    ----------
+    listen : str
+        ``ip:port`` of the server.
+    fleet : str
+        Fleet name; peers of another fleet are refused.
+    key : bytes
+        Shared key of the fleet.
+    build_hello : callable
+        Returns the signed ``Hello`` of this VM.
+    clock : callable
+        Returns seconds since the epoch.
+    report : callable
+        Takes each event for the node.
+    count : callable
+        Counts bytes and refused streams, ``count(name, amount)``.
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        fleet: str,
+        key: bytes,
+        build_hello: Callable[[], Hello],
+        clock: Callable[[], float],
+        report: Callable[[Any], None],
+        count: Callable[[str, int], None],
+    ):
+        self.listen = listen
+        self.fleet = fleet
+        self.key = key
+        self.build_hello = build_hello
+        self.clock = clock
+        self.report = report
+        self.count = count
+        self.cut_vms: frozenset[str] = frozenset()
+        self._queues: dict[str, asyncio.Queue] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._incoming: dict[asyncio.StreamWriter, str] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Open the server."""
+        host, port = parse_endpoint(self.listen)
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def stop(self) -> None:
+        """Flush what is queued for up to a second, then close everything."""
+        if self._server:
+            self._server.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await asyncio.gather(*(queue.join() for queue in self._queues.values()))
+        for task in list(self._tasks.values()):
+            task.cancel()
+        for writer in list(self._incoming):
+            writer.close()
+
+    def cut(self, vms: frozenset[str]) -> None:
+        """Drop all traffic with `vms`, for tests of partitions."""
+        self.cut_vms = vms
+        for vm in vms:
+            self.close(vm)
+        for writer, vm in list(self._incoming.items()):
+            if vm in vms:
+                writer.close()
+
+    def send(self, vm: str, address: str, message: Any) -> None:
+        """Queue `message` for `vm`; messages that cannot leave come back as ``PeerUnsent``."""
+        if vm in self.cut_vms:
+            self.report(PeerUnsent(vm=vm, messages=(message,)))
+            return
+        queue = self._queues.get(vm)
+        if queue is None:
+            queue = self._queues[vm] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+            self._tasks[vm] = asyncio.create_task(self._run_link(vm, address, queue))
+        try:
+            queue.put_nowait(message)
+        except asyncio.QueueFull:
+            self.report(PeerUnsent(vm=vm, messages=(message,)))
+
+    def close(self, vm: str) -> None:
+        """Close the stream to `vm`, if any."""
+        task = self._tasks.get(vm)
+        if task is not None:
+            task.cancel()
+
+    async def _run_link(self, vm: str, address: str, queue: asyncio.Queue) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(*parse_endpoint(address))
+        except (OSError, TimeoutError, asyncio.CancelledError):
+            self._finish_link(vm, queue)
+            return
+        try:
+            await self._pump(reader, writer, queue)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+            self._finish_link(vm, queue)
+
+    def _finish_link(self, vm: str, queue: asyncio.Queue) -> None:
+        if self._queues.get(vm) is queue:
+            del self._queues[vm], self._tasks[vm]
+        unsent = tuple(queue.get_nowait() for _ in range(queue.qsize()))
+        self.report(PeerUnsent(vm=vm, messages=unsent))
+        self.report(PeerLost(vm=vm))
+
+    async def _pump(self, reader, writer, queue: asyncio.Queue) -> None:
+        write_messages(writer, PEER_CODEC, [self.build_hello()])
+        # The peer never writes on this stream, so a completed read means that it is closed.
+        closed = asyncio.create_task(reader.read(1))
+        try:
+            while True:
+                getter = asyncio.create_task(queue.get())
+                await asyncio.wait({getter, closed}, return_when=asyncio.FIRST_COMPLETED)
+                if not getter.done():
+                    getter.cancel()
+                    return
+                rest = min(queue.qsize(), MAX_BATCH_MESSAGES)
+                batch = [getter.result(), *(queue.get_nowait() for _ in range(rest))]
+                self.count("peer_bytes", self._write_batch(writer, batch))
+                await writer.drain()
+                for _ in batch:
+                    queue.task_done()
+        finally:
+            closed.cancel()
+
+    def _write_batch(self, writer: asyncio.StreamWriter, batch: list[Any]) -> int:
+        size = 0
+        for message in batch:
+            try:
+                size += write_messages(writer, PEER_CODEC, [message])
+            except DecodeError as exc:
+                log.error("peers: message too large to send", extra={"reason": str(exc)})
+        return size
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        vm = ""
+        try:
+            stream = read_messages(reader, PEER_CODEC)
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                first = await anext(stream)
+            hello = self._check_hello(first[0])
+            vm = hello.vm
+            self._incoming[writer] = vm
+            self.report(PeerUp(vm=vm, zone=hello.zone, incarnation=hello.incarnation))
+            await self._receive(vm, stream, first[1:])
+        except (DecodeError, StopAsyncIteration, TimeoutError) as exc:
+            self.count("peer_streams_refused", 1)
+            log.warning("peers: stream refused", extra={"peer": vm, "reason": str(exc)})
+        except OSError as exc:
+            log.info("peers: stream lost", extra={"peer": vm, "reason": str(exc)})
+        finally:
+            self._incoming.pop(writer, None)
+            writer.close()
+
+    def _check_hello(self, message: Any) -> Hello:
+        if not isinstance(message, Hello):
+            raise DecodeError("stream does not open with Hello")
+        if not verify_hello(key=self.key, fleet=self.fleet, hello=message, now_s=self.clock()):
+            raise DecodeError("Hello is not signed with this fleet's key")
+        if message.vm in self.cut_vms:
+            raise DecodeError("link is cut for a test")
+        return message
+
+    async def _receive(self, vm: str, stream, early: list[Any]) -> None:
+        if early:
+            self.report(PeerMessages(vm=vm, messages=tuple(early)))
+        async for messages in stream:
+            if vm in self.cut_vms:
+                return
+            if any(isinstance(message, Hello) for message in messages):
+                raise DecodeError("second Hello on a stream")
+            self.report(PeerMessages(vm=vm, messages=tuple(itertools.chain(messages))))
--- /dev/null
+++ b/mulberryswitch/links/_platform.py
@@ -0,0 +1,100 @@
+"""Reads of the platform's configuration service and of its list of VMs over HTTP."""
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+
+from ._events import ConfigRead, ConfigReadFailed, ReadConfig, VmEntry, VmListRead
+
+__all__ = ["PlatformReader", "check_vm_list"]
+
+ANSWER_TIMEOUT_S = 2.0
+# A larger value is read up to this size, so that the refusal can name it.
+MAX_VALUE_BYTES = 1_200_000
+
+log = logging.getLogger("platform")
+
+
+def check_vm_list(text: bytes) -> tuple[VmEntry, ...]:
+    """Return the entries of the platform's list; raise ``ValueError`` when it is malformed."""
+    try:
+        lines = json.loads(text)["vms"]
+        return tuple(
+            VmEntry(
+                vm=str(line["vm"]),
+                zone=str(line["zone"]),
+                address=str(line["address"]),
+                leaving=line.get("leaving") is True,
+            )
+            for line in lines
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise ValueError(f"list of VMs is malformed: {exc!r:.120}") from exc
+
+
+class PlatformReader:
+    """Owner of the HTTP client; runs at most one read of each kind at a time."""
+
+    def __init__(self, *, url: str, report: Callable[[Any], None]):
+        self.url = url
+        self.report = report
+        self._session: aiohttp.ClientSession | None = None
+        self._config_task: asyncio.Task | None = None
+        self._list_task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Create the client."""
+        self._session = aiohttp.ClientSession()
+
+    async def stop(self) -> None:
+        """Cancel reads and close the client."""
+        for task in (self._config_task, self._list_task):
+            if task is not None:
+                task.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    def read_config(self, plan: ReadConfig) -> None:
+        """Start a read or a long-poll watch of the configuration."""
+        if self._config_task is None or self._config_task.done():
+            self._config_task = asyncio.create_task(self._read_config(plan))
+
+    def read_vm_list(self) -> None:
+        """Start a read of the list of VMs."""
+        if self._list_task is None or self._list_task.done():
+            self._list_task = asyncio.create_task(self._read_vm_list())
+
+    async def _get(self, path: str, wait_s: float) -> tuple[int, dict, bytes]:
+        timeout = aiohttp.ClientTimeout(total=wait_s + ANSWER_TIMEOUT_S)
+        async with self._session.get(self.url + path, timeout=timeout) as response:
+            body = await response.content.read(MAX_VALUE_BYTES + 1)
+            while len(body) <= MAX_VALUE_BYTES and (more := await response.content.readany()):
+                body += more
+            return response.status, dict(response.headers), body
+
+    async def _read_config(self, plan: ReadConfig) -> None:
+        try:
+            path = f"/v1/config?after={plan.after}&wait={plan.wait_s:g}"
+            status, headers, body = await self._get(path, plan.wait_s)
+            if status == 200:
+                self.report(ConfigRead(document=body, version=int(headers["X-Version"])))
+            elif status in (304, 404):
+                self.report(ConfigRead(document=None, version=plan.after))
+            else:
+                self.report(ConfigReadFailed(reason=f"status {status}"))
+        except (aiohttp.ClientError, TimeoutError, OSError, KeyError, ValueError) as exc:
+            self.report(ConfigReadFailed(reason=f"{type(exc).__name__}: {exc}"[:200]))
+
+    async def _read_vm_list(self) -> None:
+        try:
+            status, _, body = await self._get("/v1/vms", 0.0)
+            if status != 200:
+                raise ValueError(f"status {status}")
+            self.report(VmListRead(entries=check_vm_list(body)))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+            log.info("platform: list of VMs not read", extra={"reason": str(exc)[:200]})
+            self.report(VmListRead(entries=None))
--- /dev/null
+++ b/mulberryswitch/links/_streams.py
@@ -0,0 +1,45 @@
+"""Framing of msgpack messages on TCP streams, shared by peer and target links."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from typing import Any
+
+import msgpack
+
+from mulberryswitch.contracts import Codec, DecodeError
+
+__all__ = ["parse_endpoint", "read_messages", "write_messages"]
+
+READ_BYTES = 64 * 1024
+
+
+def parse_endpoint(endpoint: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = endpoint.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+async def read_messages(reader: asyncio.StreamReader, codec: Codec) -> AsyncIterator[list[Any]]:
+    """Yield the messages of a stream, several at a time where they arrived together.
+
+    Raises
+    ------
+    DecodeError
+        If the peer sent bytes that are no message or a message above the codec's limit.
+    """
+    unpacker = msgpack.Unpacker(max_buffer_size=codec.max_bytes + READ_BYTES)
+    while data := await reader.read(READ_BYTES):
+        try:
+            unpacker.feed(data)
+            values = list(unpacker)
+        except Exception as exc:  # msgpack raises several unrelated types on bad input
+            raise DecodeError(f"bad stream: {type(exc).__name__}") from exc
+        if values:
+            yield [codec.decode_value(value) for value in values]
+
+
+def write_messages(writer: asyncio.StreamWriter, codec: Codec, messages: Iterable[Any]) -> int:
+    """Write `messages` to the stream's buffer and return the number of bytes."""
+    data = b"".join(codec.encode(message) for message in messages)
+    writer.write(data)
+    return len(data)
