--- /dev/null
+++ b/mulberryswitch/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with ``python -m mulberryswitch``."""
+
+from mulberryswitch.cli import main
+
+if __name__ == "__main__":
+    main()
