SWIM membership and pause detection

Owners are chosen over a view of the fleet, and nothing kept that view yet. Membership is a pure state machine: events, the time and a random source come in as arguments, datagrams go out.

A reported death starts or shortens a suspicion and does not kill at once, because after a partition each side reports the members of the other side dead. The platform's list fills the view of a starting VM only; later it names addresses to ping, so that a stale list cannot revive a VM.

--- a/mulberryswitch/vms/__init__.py
+++ b/mulberryswitch/vms/__init__.py
@@ -1,5 +1,16 @@
-"""VMs of the fleet: membership and choice of owners."""
+"""VMs of the fleet: membership, pauses and choice of owners."""
 
+from ._membership import ListEntry, Membership, Send
 from ._owners import Member, pick_owner, pick_standbys, rank_members
+from ._pause import PauseDetector
 
-__all__ = ["Member", "pick_owner", "pick_standbys", "rank_members"]
+__all__ = [
+    "ListEntry",
+    "Member",
+    "Membership",
+    "PauseDetector",
+    "Send",
+    "pick_owner",
+    "pick_standbys",
+    "rank_members",
+]
