Validate, order and spread the published configuration

Cause: owners and entry VMs need one configuration that is validated in the same way everywhere and never reverts, although the platform can be stale and VMs keep nothing when they are replaced.

Ruled out: tombstones as plain (address, service) pairs. Two VMs that bound an address differently cannot tell which binding is older and would either move the address or disagree for good. The wire message therefore carries the first version that bound the address, and announces carry a digest of the tombstones, so that VMs at the same version still find a difference. Ruled out: refusing a peer's document because of a rebound address. It would leave two VMs at different content of one version; the address stays with its oldest service instead.

--- /dev/null
+++ b/mulberryswitch/configuration/__init__.py
@@ -0,0 +1,32 @@
+"""The published configuration: validation, the version in force, and its spread among VMs."""
+
+from ._bindings import MAX_TOMBSTONES, Binding, Tombstones
+from ._delta import DeltaError, apply_delta, build_delta
+from ._document import MAX_DOCUMENT_BYTES
+from ._errors import Problem, SheetProblem, SheetRefusedError
+from ._exchange import TICK_S, ConfigExchange, Outgoing
+from ._readers import ReadPlan, pick_readers
+from ._store import ConfigStore, Offer, RefusedSheet
+from ._validation import check_sheet
+
+__all__ = [
+    "Binding",
+    "ConfigExchange",
+    "ConfigStore",
+    "DeltaError",
+    "MAX_DOCUMENT_BYTES",
+    "MAX_TOMBSTONES",
+    "Offer",
+    "Outgoing",
+    "Problem",
+    "ReadPlan",
+    "RefusedSheet",
+    "SheetProblem",
+    "SheetRefusedError",
+    "TICK_S",
+    "Tombstones",
+    "apply_delta",
+    "build_delta",
+    "check_sheet",
+    "pick_readers",
+]
--- /dev/null
+++ b/mulberryswitch/configuration/_bindings.py
@@ -0,0 +1,96 @@
+"""Permanent bindings of addresses to services."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import NamedTuple
+
+import xxhash
+
+__all__ = ["MAX_TOMBSTONES", "Binding", "Tombstones"]
+
+MAX_TOMBSTONES = 65_536
+
+
+class Binding(NamedTuple):
+    """Service of an address and the first accepted version that bound it."""
+
+    service: str
+    version: int
+
+    @property
+    def rank(self) -> tuple[int, str]:
+        """Order of conflicting bindings: the oldest version wins, then the lower name."""
+        return self.version, self.service
+
+
+def _hash_binding(address: str, binding: Binding) -> int:
+    text = f"{address}|{binding.service}|{binding.version}"
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+class Tombstones(Mapping[str, str]):
+    """Bindings that were ever accepted, as a mapping of address to service.
+
+    Merging is commutative, associative and idempotent, so VMs that exchange bindings agree in any
+    order of messages.
+    """
+
+    def __init__(self):
+        self._bindings: dict[str, Binding] = {}
+        # Change number of each binding; a delta carries only what changed since its base.
+        self._changes: dict[str, int] = {}
+        self._digest = 0
+        self.sequence = 0
+
+    @property
+    def digest(self) -> bytes:
+        """Digest of all bindings, equal at two VMs that hold the same ones."""
+        return self._digest.to_bytes(8)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether new addresses are left out."""
+        return len(self._bindings) >= MAX_TOMBSTONES
+
+    def __getitem__(self, address: str) -> str:
+        return self._bindings[address].service
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._bindings)
+
+    def __len__(self) -> int:
+        return len(self._bindings)
+
+    def count_new(self, addresses: Iterable[str]) -> int:
+        """Return how many distinct `addresses` have no binding."""
+        return len(set(addresses) - self._bindings.keys())
+
+    def merge(self, bindings: Mapping[str, Binding]) -> list[str]:
+        """Take in `bindings` and return the addresses whose service changed.
+
+        New addresses beyond the limit are left out.
+        """
+        moved = []
+        for address, binding in sorted(bindings.items()):
+            known = self._bindings.get(address)
+            if known is None and self.is_full:
+                continue
+            if known is not None and known.rank <= binding.rank:
+                continue
+            # The exclusive or of all hashes depends on no order and takes one step per change.
+            self._digest ^= _hash_binding(address, binding)
+            if known is not None:
+                self._digest ^= _hash_binding(address, known)
+            self.sequence += 1
+            self._bindings[address] = binding
+            self._changes[address] = self.sequence
+            if known is None or known.service != binding.service:
+                moved.append(address)
+        return moved
+
+    def read_since(self, sequence: int) -> list[tuple[str, str, int]]:
+        """Return (address, service, version) of the bindings changed after `sequence`."""
+        return [
+            (address, *self._bindings[address])
+            for address, change in self._changes.items()
+            if change > sequence
+        ]
--- /dev/null
+++ b/mulberryswitch/configuration/_store.py
@@ -0,0 +1,214 @@
+"""The configuration in force at one VM."""
+
+import hashlib
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from mulberryswitch.contracts import ResultCode, Sheet
+
+from ._bindings import MAX_TOMBSTONES, Binding, Tombstones
+from ._document import DIGEST_BYTES
+from ._errors import Problem, SheetRefusedError
+from ._validation import CheckedDocument, build_sheet, check_document
+
+__all__ = ["ConfigStore", "Offer", "RefusedSheet"]
+
+MAX_REFUSED = 32
+MAX_REFUSED_PROBLEMS = 100
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Offer:
+    """Outcome of an offer: accepted, ignored as not newer, or refused with problems."""
+
+    accepted: bool
+    ignored: bool
+    problems: tuple[Problem, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RefusedSheet:
+    """A refused document as operators read it.
+
+    Attributes
+    ----------
+    version : int
+        Version that was offered.
+    checksum : bytes
+        Checksum of the bytes that were offered.
+    source : str
+        Where it was last offered from.
+    first_s, last_s : float
+        Time of the first and last offer in seconds.
+    count : int
+        Number of offers.
+    problems : tuple of Problem
+        The first 100 problems.
+    problem_count : int
+        Number of all problems.
+    """
+
+    version: int
+    checksum: bytes
+    source: str
+    first_s: float
+    last_s: float
+    count: int
+    problems: tuple[Problem, ...]
+    problem_count: int
+
+
+class ConfigStore:
+    """Hold the accepted sheet, the refused ones and the tombstones of one VM.
+
+    (`version`, `digest`) only moves up. `sheet` is replaced by another object of the same version
+    when a merged tombstone changes the service of one of its addresses, so users compare sheets by
+    identity.
+    """
+
+    def __init__(self):
+        self.sheet: Sheet | None = None
+        self.document = b""
+        self.since_s = 0.0
+        self.tombstones = Tombstones()
+        self.ignored_count = 0
+        self.refused_count = 0
+        self.accepted_count = 0
+        self._listed: frozenset[str] = frozenset()
+        self._refused: deque[RefusedSheet] = deque(maxlen=MAX_REFUSED)
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first acceptance."""
+        return self.sheet.version if self.sheet else 0
+
+    @property
+    def digest(self) -> bytes:
+        """Digest in force, empty before the first acceptance."""
+        return self.sheet.digest if self.sheet else b""
+
+    @property
+    def key(self) -> tuple[int, bytes]:
+        """Position in the order of configurations."""
+        return self.version, self.digest
+
+    @property
+    def refused(self) -> list[RefusedSheet]:
+        """Refused documents, the latest last, at most 32."""
+        return list(self._refused)
+
+    def merge_bindings(self, *, bindings: Mapping[str, Binding]) -> None:
+        """Take in bindings that other VMs accepted."""
+        moved = self.tombstones.merge(bindings)
+        if self.sheet is None or self._listed.isdisjoint(moved):
+            return
+        checked = check_document(document=self.document, tombstones=self.tombstones)
+        self.sheet = build_sheet(checked=checked, version=self.version, tombstones=self.tombstones)
+
+    def offer(
+        self,
+        *,
+        document: bytes,
+        version: int,
+        tombstones: Mapping[str, str],
+        source: str,
+        now_s: float,
+        accepted_by_peer: bool = False,
+    ) -> Offer:
+        """Accept, ignore or refuse a document.
+
+        Parameters
+        ----------
+        document : bytes
+            JSON text.
+        version : int
+            Version that the platform assigned, from 1.
+        tombstones : mapping of str to str
+            Bindings that come with the document; they are merged whatever the outcome.
+        source : str
+            Where the document came from, for operators.
+        now_s : float
+            Time in seconds.
+        accepted_by_peer : bool
+            Whether another VM holds the document in force. Then an address that it rebinds is not
+            a reason to refuse: the address stays with its oldest service and the rest is taken,
+            because refusing would leave two VMs at different content forever.
+
+        Returns
+        -------
+        Offer
+        """
+        if tombstones:
+            bindings = {a: Binding(service, version) for a, service in tombstones.items()}
+            self.merge_bindings(bindings=bindings)
+        if version < self.version or (version == self.version and document == self.document):
+            self.ignored_count += 1
+            return Offer(accepted=False, ignored=True)
+        try:
+            checked = self._check(document, version, accepted_by_peer)
+        except SheetRefusedError as exc:
+            self._record_refusal(document, version, source, now_s, exc.problems)
+            return Offer(accepted=False, ignored=False, problems=exc.problems)
+        if (version, checked.digest) <= self.key:
+            self.ignored_count += 1
+            return Offer(accepted=False, ignored=True)
+        self._apply(checked, version, now_s)
+        return Offer(accepted=True, ignored=False, problems=checked.rebound)
+
+    def _check(self, document: bytes, version: int, accepted_by_peer: bool) -> CheckedDocument:
+        checked = check_document(document=document, tombstones=self.tombstones)
+        # An older document of the same version is ignored, not reported to operators.
+        if (version, checked.digest) <= self.key:
+            return checked
+        if checked.rebound and not accepted_by_peer:
+            raise SheetRefusedError(checked.rebound)
+        addresses = (a for service in checked.model.services for a in service.addresses)
+        total = len(self.tombstones) + self.tombstones.count_new(addresses)
+        if total > MAX_TOMBSTONES:
+            text = f"{total} addresses ever bound, at most {MAX_TOMBSTONES}"
+            problem = Problem(code=ResultCode.SHEET_TOO_LARGE, item="addresses", message=text)
+            raise SheetRefusedError((problem,))
+        return checked
+
+    def _apply(self, checked: CheckedDocument, version: int, now_s: float) -> None:
+        bindings = {
+            address: Binding(service.name, version)
+            for service in checked.model.services
+            for address in service.addresses
+        }
+        self.tombstones.merge(bindings)
+        self._listed = frozenset(bindings)
+        self.document = checked.document
+        self.since_s = now_s
+        self.accepted_count += 1
+        self.sheet = build_sheet(checked=checked, version=version, tombstones=self.tombstones)
+
+    def _record_refusal(
+        self,
+        document: bytes,
+        version: int,
+        source: str,
+        now_s: float,
+        problems: tuple[Problem, ...],
+    ) -> None:
+        self.refused_count += 1
+        checksum = hashlib.blake2b(document, digest_size=DIGEST_BYTES).digest()
+        known = next(
+            (r for r in self._refused if (r.version, r.checksum) == (version, checksum)), None
+        )
+        if known is not None:
+            self._refused.remove(known)
+        record = RefusedSheet(
+            version=version,
+            checksum=checksum,
+            source=source,
+            first_s=now_s,
+            last_s=now_s,
+            count=1,
+            problems=problems[:MAX_REFUSED_PROBLEMS],
+            problem_count=len(problems),
+        )
+        if known is not None:
+            record = replace(record, first_s=known.first_s, count=known.count + 1)
+        self._refused.append(record)
--- /dev/null
+++ b/mulberryswitch/configuration/_validation.py
@@ -0,0 +1,225 @@
+"""Validation of a published document."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import ValidationError
+
+from mulberryswitch.contracts import ResultCode, Service, Sheet, Target, TargetState
+
+from ._document import (
+    MAX_DOCUMENT_BYTES,
+    DocumentModel,
+    ServiceModel,
+    check_address,
+    compute_digest,
+    dump_canonical,
+    parse_json,
+)
+from ._errors import Problem, SheetRefusedError
+
+__all__ = ["CheckedDocument", "build_sheet", "check_document", "check_sheet"]
+
+# An unknown key of a megabyte would otherwise be repeated in the operators' list.
+MAX_ITEM_CHARS = 128
+MAX_MESSAGE_CHARS = 256
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CheckedDocument:
+    """A valid document in canonical form; `rebound` are bindings against the tombstones."""
+
+    model: DocumentModel
+    document: bytes
+    digest: bytes
+    rebound: tuple[Problem, ...]
+
+
+def _problem(code: ResultCode, item: str, message: str) -> Problem:
+    return Problem(code=code, item=item[:MAX_ITEM_CHARS], message=message[:MAX_MESSAGE_CHARS])
+
+
+def _find_repeats(values: Iterable[str]) -> list[str]:
+    return sorted(value for value, count in Counter(values).items() if count > 1)
+
+
+def _parse(document: bytes) -> Any:
+    if len(document) > MAX_DOCUMENT_BYTES:
+        text = f"{len(document)} bytes, at most {MAX_DOCUMENT_BYTES}"
+        raise SheetRefusedError((_problem(ResultCode.SHEET_TOO_LARGE, "document", text),))
+    try:
+        return parse_json(document)
+    except ValueError as exc:
+        code = ResultCode.SHEET_NOT_JSON
+        raise SheetRefusedError((_problem(code, "document", str(exc)),)) from exc
+
+
+def _read_schema_problems(exc: ValidationError) -> list[Problem]:
+    return [
+        _problem(
+            ResultCode.SHEET_SCHEMA, ".".join(map(str, error["loc"])) or "document", error["msg"]
+        )
+        for error in exc.errors(include_url=False, include_context=False, include_input=False)
+    ]
+
+
+def _drop_bad_items(value: Any, exc: ValidationError) -> Any:
+    """Return `value` without the services and targets named in `exc`, or None.
+
+    The rest is checked too, so that one publication round shows the operator every problem.
+    """
+    paths = {error["loc"] for error in exc.errors(include_url=False, include_input=False)}
+    if any(len(path) < 2 or path[0] != "services" for path in paths):
+        return None
+    bad_targets = {(p[1], p[3]) for p in paths if len(p) > 3 and p[2] == "targets"}
+    bad_services = {p[1] for p in paths if len(p) < 4 or p[2] != "targets"}
+    services = [
+        {
+            **service,
+            "targets": [t for j, t in enumerate(service["targets"]) if (i, j) not in bad_targets],
+        }
+        for i, service in enumerate(value["services"])
+        if i not in bad_services
+    ]
+    return {**value, "services": services}
+
+
+def _check_schema(value: Any) -> tuple[DocumentModel | None, list[Problem]]:
+    try:
+        return DocumentModel.model_validate(value), []
+    except ValidationError as exc:
+        problems = _read_schema_problems(exc)
+        rest = _drop_bad_items(value, exc)
+    return (DocumentModel.model_validate(rest) if rest else None), problems
+
+
+def _iterate_duplicates(model: DocumentModel) -> Iterator[Problem]:
+    services, targets = model.services, [t for s in model.services for t in s.targets]
+    addresses = (address for service in services for address in service.addresses)
+    groups = (
+        (ResultCode.SHEET_SCHEMA, "zone listed twice", model.zones),
+        (ResultCode.DUPLICATE_SERVICE, "service name used twice", (s.name for s in services)),
+        (ResultCode.DUPLICATE_ADDRESS, "service address listed twice", addresses),
+        (ResultCode.DUPLICATE_TARGET, "target name used twice", (t.name for t in targets)),
+        (ResultCode.DUPLICATE_TARGET, "target address used twice", (t.address for t in targets)),
+    )
+    for code, message, values in groups:
+        yield from (_problem(code, value, message) for value in _find_repeats(values))
+
+
+def _iterate_address_problems(items: Iterable[tuple[str, str]]) -> Iterator[Problem]:
+    for owner, address in items:
+        try:
+            check_address(address)
+        except ValueError as exc:
+            yield _problem(ResultCode.BAD_ADDRESS, f"{owner} {address}", str(exc))
+
+
+def _iterate_item_problems(model: DocumentModel) -> Iterator[Problem]:
+    zones = set(model.zones)
+    for service in model.services:
+        yield from _iterate_address_problems((service.name, a) for a in service.addresses)
+        yield from _iterate_address_problems((t.name, t.address) for t in service.targets)
+        for target in service.targets:
+            if target.zone not in zones:
+                text = f"zone {target.zone} is not in zones"
+                yield _problem(ResultCode.UNKNOWN_ZONE, target.name, text)
+
+
+def _iterate_empty(value: dict[str, Any]) -> Iterator[Problem]:
+    for service in value["services"]:
+        if isinstance(service, dict) and service.get("targets") == []:
+            text = "a service needs at least one target"
+            yield _problem(ResultCode.SERVICE_WITHOUT_TARGETS, str(service.get("name"))[:64], text)
+
+
+def _iterate_rebound(model: DocumentModel, tombstones: Mapping[str, str]) -> Iterator[Problem]:
+    for service in model.services:
+        for address in service.addresses:
+            bound = tombstones.get(address, service.name)
+            if bound != service.name:
+                text = f"bound to {bound}, the sheet gives it to {service.name}"
+                yield _problem(ResultCode.ADDRESS_REBOUND, address, text)
+
+
+def check_document(*, document: bytes, tombstones: Mapping[str, str]) -> CheckedDocument:
+    """Return a valid document; raise ``SheetRefusedError`` for anything but rebound addresses."""
+    value = _parse(document)
+    model, problems = _check_schema(value)
+    rebound: tuple[Problem, ...] = ()
+    if model is not None:
+        problems += [*_iterate_duplicates(model), *_iterate_item_problems(model)]
+        problems += _iterate_empty(value)
+        rebound = tuple(sorted(_iterate_rebound(model, tombstones)))
+    if problems:
+        raise SheetRefusedError(tuple(sorted({*problems, *rebound})))
+    canonical = dump_canonical(value)
+    return CheckedDocument(
+        model=model, document=canonical, digest=compute_digest(canonical), rebound=rebound
+    )
+
+
+def _build_service(model: ServiceModel, addresses: tuple[str, ...]) -> Service:
+    targets = (
+        Target(
+            name=target.name,
+            service=model.name,
+            zone=target.zone,
+            address=target.address,
+            state=TargetState(target.state),
+        )
+        for target in model.targets
+    )
+    return Service(
+        name=model.name,
+        addresses=addresses,
+        slots=model.slots,
+        connections=model.connections,
+        targets=tuple(sorted(targets, key=lambda target: target.name)),
+    )
+
+
+def build_sheet(*, checked: CheckedDocument, version: int, tombstones: Mapping[str, str]) -> Sheet:
+    """Return the sheet of a checked document.
+
+    A rebound address stays with the service in `tombstones`; it is left out when the sheet does
+    not list that service.
+    """
+    models = sorted(checked.model.services, key=lambda model: model.name)
+    listed = {model.name: [] for model in models}
+    for model in models:
+        for address in model.addresses:
+            listed.get(tombstones.get(address, model.name), []).append(address)
+    services = {m.name: _build_service(m, tuple(sorted(listed[m.name]))) for m in models}
+    return Sheet(
+        version=version,
+        digest=checked.digest,
+        zones=tuple(sorted(checked.model.zones)),
+        services=services,
+        service_by_address={a: name for name, found in listed.items() for a in found},
+    )
+
+
+def check_sheet(*, document: bytes, version: int, tombstones: Mapping[str, str]) -> Sheet:
+    """Return the sheet in `document`.
+
+    Parameters
+    ----------
+    document : bytes
+        JSON text as published.
+    version : int
+        Version that the platform assigned.
+    tombstones : mapping of str to str
+        Service that each address was ever bound to.
+
+    Raises
+    ------
+    SheetRefusedError
+        With every problem found.
+    """
+    checked = check_document(document=document, tombstones=tombstones)
+    if checked.rebound:
+        raise SheetRefusedError(checked.rebound)
+    return build_sheet(checked=checked, version=version, tombstones=tombstones)
--- a/mulberryswitch/contracts/_messages.py
+++ b/mulberryswitch/contracts/_messages.py
@@ -127,15 +127,22 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigAnnounce:
-    """The sender has accepted configuration (`version`, `digest`)."""
+    """The sender has accepted configuration (`version`, `digest`).
+
+    `tombstones` is a digest of its tombstones; version 0 means that it holds no configuration.
+    """
 
     version: int
     digest: bytes
+    tombstones: bytes
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigPull:
-    """Ask for the accepted configuration; the sender holds (`version`, `digest`)."""
+    """Ask for the accepted configuration; the sender holds (`version`, `digest`).
+
+    A receiver that holds the same configuration answers with its tombstones.
+    """
 
     version: int
     digest: bytes
@@ -145,7 +152,8 @@
 class ConfigDocument:
     """An accepted configuration, whole or as a delta to (`base_version`, `base_digest`).
 
-    `base_version` is 0 for a whole document. `tombstones` are (address, service) pairs.
+    `base_version` is 0 for a whole document. `tombstones` are (address, service, version) with the
+    first accepted version that bound the address. An empty `document` carries tombstones only.
     """
 
     version: int
@@ -153,7 +161,7 @@
     base_version: int
     base_digest: bytes
     document: bytes
-    tombstones: tuple[tuple[str, str], ...]
+    tombstones: tuple[tuple[str, str, int], ...]
 
 
 class MemberState(IntEnum):
