Encode owner keys before hashing

Pinning an older xxhash was ruled out: encoding is correct with every version. The routing tests fail before the change and pass after it.

--- a/mulberryswitch/vms/_owners.py
+++ b/mulberryswitch/vms/_owners.py
@@ -25,7 +25,7 @@
     """Return `members` from the first rendezvous rank for `key` to the last."""
     return sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}|{member.vm}"), member.vm),
+        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}|{member.vm}".encode()), member.vm),
         reverse=True,
     )
 
