Flow shards, replication between owners and standbys, and the router

A flow must reach its target whichever VM receives its packets, so the owner of a shard pins it and its standbys hold the base and the exceptions. ShardState gains counts, remaining and role: without counts an owner that took over could exceed a target's connections, without remaining half of a split state could replace a usable one, and without role a VM that joined could not tell an owner that still serves from a copy.

--- a/mulberryswitch/contracts/__init__.py
+++ b/mulberryswitch/contracts/__init__.py
@@ -22,6 +22,7 @@
     PingRequest,
     QueueHandover,
     ShardAck,
+    ShardRole,
     ShardState,
 )
 from ._packets import (
@@ -96,6 +97,7 @@
     "ResultCode",
     "Service",
     "ShardAck",
+    "ShardRole",
     "ShardState",
     "Shed",
     "Sheet",
--- a/mulberryswitch/contracts/_messages.py
+++ b/mulberryswitch/contracts/_messages.py
@@ -26,6 +26,7 @@
     "Pin",
     "QueueHandover",
     "ShardAck",
+    "ShardRole",
     "ShardState",
 ]
 
@@ -91,12 +92,22 @@
     target: str
 
 
+class ShardRole(IntEnum):
+    """What the sender of a ``ShardState`` does for the shard."""
+
+    COPY = 0  # holds a copy and serves no packet
+    OWNER = 1  # serves the shard
+    HANDOVER = 2  # serves it until the receiver, as its owner, has acknowledged
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ShardState:
     """Replicated state of a flow shard.
 
     A `full` state replaces what the standby holds; otherwise `pins` are added and `closed` flows
-    are removed. `sequence` rises by one per message of one owner.
+    are removed. `sequence` rises by one per message of one owner to one VM; a full state takes a
+    new one from the clock. `counts` are the open flows of each target of `base`, `remaining` is the
+    number of messages that complete a split state, and `role` is a ``ShardRole``.
     """
 
     service: str
@@ -106,6 +117,9 @@
     base: tuple[str, ...]
     pins: tuple[Pin, ...]
     closed: tuple[bytes, ...]
+    counts: tuple[int, ...] = ()
+    remaining: int = 0
+    role: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/mulberryswitch/routing/__init__.py
@@ -0,0 +1,33 @@
+"""Routing of packets to owners, and the replicated flow tables of the owners."""
+
+from ._base import FLOW_SHARDS, shard_of
+from ._replication import FlowShards, Outgoing, ShardCounters
+from ._router import (
+    UNPINNED,
+    Drop,
+    ForwardTo,
+    RefuseLocally,
+    Route,
+    Router,
+    ServeFlow,
+    ServeRequest,
+)
+from ._shard import IDLE_TIMEOUT_S, FlowShard
+
+__all__ = [
+    "FLOW_SHARDS",
+    "IDLE_TIMEOUT_S",
+    "Drop",
+    "FlowShard",
+    "FlowShards",
+    "ForwardTo",
+    "Outgoing",
+    "RefuseLocally",
+    "Route",
+    "Router",
+    "ServeFlow",
+    "ServeRequest",
+    "ShardCounters",
+    "UNPINNED",
+    "shard_of",
+]
--- /dev/null
+++ b/mulberryswitch/routing/tests/test_replication.py
@@ -0,0 +1,107 @@
+"""Tests of owners, standbys and handover over an in-memory network."""
+
+import unittest
+
+from mulberryswitch.contracts import PEER_CODEC, ResultCode
+from mulberryswitch.routing import shard_of
+
+from .builders import SERVICE, Network, make_flows, make_members, make_sheet, make_targets
+
+
+class ReplicationTest(unittest.TestCase):
+    def setUp(self):
+        self.sheet = make_sheet({SERVICE: make_targets(7)})
+        self.members = make_members(6)
+        self.net = Network(self.sheet, self.members)
+        self.net.run(1)
+
+    def open_flows(self, count: int, prefix: str = "flow") -> dict[bytes, str]:
+        return {
+            flow: self.net.vms[self.net.owner(shard_of(flow))]
+            .shard(SERVICE, shard_of(flow))
+            .apply_open(flow=flow, now_s=self.net.now_s)
+            for flow in make_flows(count, prefix=prefix)
+        }
+
+    def resolve(self, flows) -> dict[bytes, str]:
+        return {
+            flow: self.net.vms[self.net.owner(shard_of(flow))]
+            .shard(SERVICE, shard_of(flow))
+            .lookup(flow=flow, now_s=self.net.now_s)
+            for flow in flows
+        }
+
+    def test_new_fleet_is_complete_and_owned_once(self):
+        """Guards against a first start that waits for a state that nobody has."""
+        for shard in range(16):
+            owners = [vm for vm, s in self.net.vms.items() if s.owns(SERVICE, shard)]
+            self.assertEqual(len(owners), 1)
+            self.assertTrue(self.net.vms[owners[0]].shard(SERVICE, shard).complete)
+
+    def test_owner_dies(self):
+        """Guards against a standby that resolves an old flow to another target."""
+        opened = self.open_flows(2000)
+        self.net.run(2)
+        victim = self.net.owner(0)
+        del self.net.vms[victim]
+        self.net.set_members(tuple(m for m in self.members if m.vm != victim))
+        self.assertEqual(self.resolve(opened), opened)
+
+    def test_vm_joins_and_takes_young_flows(self):
+        """Guards against losing flows younger than the replication age at a planned move."""
+        opened = self.open_flows(2000)
+        joined = make_members(9)
+        for member in joined[6:]:
+            self.net.start(member, self.sheet, joined)
+        self.net.set_members(joined)
+        self.net.run(1)
+        self.assertTrue(any(self.net.owner(n) in ("vm-6", "vm-7", "vm-8") for n in range(16)))
+        self.assertEqual(self.resolve(opened), opened)
+
+    def test_joined_vm_resolves_no_unknown_flow_before_state(self):
+        """Guards against wrong pins by a VM that is owner by rank and holds no state yet."""
+        self.open_flows(200)
+        joined = make_members(9)
+        self.net.drops = lambda sender, outgoing: True
+        for member in joined[6:]:
+            self.net.start(member, self.sheet, joined)
+        self.net.deliver()
+        shards = self.net.vms["vm-6"]
+        waiting = [n for n in range(16) if shards.serves(SERVICE, n)]
+        self.assertTrue(waiting)
+        for shard in waiting:
+            flows = shards.shard(SERVICE, shard)
+            self.assertIs(flows.lookup(flow=b"x", now_s=self.net.now_s), ResultCode.NOT_OWNER)
+            self.assertIs(flows.apply_open(flow=b"x", now_s=self.net.now_s), ResultCode.NOT_OWNER)
+            self.assertTrue(shards.owns(SERVICE, shard) or shards.pick_server(SERVICE, shard))
+
+    def test_planned_shutdown(self):
+        """Guards against losing young flows when a VM shuts down as planned."""
+        opened = self.open_flows(2000)
+        victim = self.net.owner(0)
+        shards = self.net.vms[victim]
+        self.net.send(victim, shards.decide_handover(now_s=self.net.now_s))
+        self.net.deliver()
+        self.assertFalse(shards.handover_done(now_s=self.net.now_s))
+        self.net.set_members(tuple(m for m in self.members if m.vm != victim))
+        self.net.run(1.5)
+        self.assertTrue(shards.handover_done(now_s=self.net.now_s))
+        self.assertEqual(self.resolve(opened), opened)
+
+    def test_messages_stay_below_the_limit(self):
+        """Guards against a state that no peer accepts because it is too large."""
+        sizes = []
+        shard = self.net.owner(0)
+        flows = self.net.vms[shard].shard(SERVICE, 0)
+        flows.apply_targets(targets=make_targets(7), connections=10**6, now_s=self.net.now_s)
+        flows.apply_targets(targets=make_targets(2), connections=10**6, now_s=self.net.now_s)
+        for flow in make_flows(30_000):
+            flows.apply_open(flow=flow, now_s=self.net.now_s)
+        self.net.drops = lambda sender, out: sizes.append(len(PEER_CODEC.encode(out.message)))
+        self.net.run(3)
+        self.assertGreater(len(sizes), 2)
+        self.assertLess(max(sizes), 256 * 1024)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberryswitch/routing/tests/test_shard.py
@@ -0,0 +1,82 @@
+"""Tests of the flow table of one shard."""
+
+import unittest
+from collections import Counter
+
+from mulberryswitch.contracts import ResultCode
+from mulberryswitch.routing import IDLE_TIMEOUT_S
+
+from .builders import START_S, make_flows, make_shard, make_target, make_targets
+
+
+class FlowShardTest(unittest.TestCase):
+    def open_all(self, shard, flows, now_s=START_S):
+        return {flow: shard.apply_open(flow=flow, now_s=now_s) for flow in flows}
+
+    def test_open_is_idempotent_and_spread(self):
+        """Guards against a repeated open that moves a flow, and against one loaded target."""
+        shard = make_shard()
+        flows = make_flows(1000)
+        first = self.open_all(shard, flows)
+        self.assertEqual(self.open_all(shard, flows), first)
+        counts = Counter(first.values())
+        self.assertLessEqual(max(counts.values()), 1.25 * 1000 / 7 + 3)
+        self.assertEqual(shard.counts(), dict(sorted(counts.items())))
+
+    def test_change_of_targets_moves_no_open_flow(self):
+        """Guards against breaking flows when a target is added or drains, also after a rebase."""
+        shard = make_shard()
+        first = self.open_all(shard, make_flows(500))
+        targets = (*make_targets(6), make_target("feeds-6", state="leaving"), make_target("new"))
+        shard.apply_targets(targets=targets, connections=4000, now_s=START_S + 1)
+        self.assertTrue(shard.needs_rebase(now_s=START_S + 60))
+        shard.apply_rebase_start()
+        shard.apply_rebase_end()
+        for flow, target in first.items():
+            self.assertEqual(shard.lookup(flow=flow, now_s=START_S + 60), target)
+        later = self.open_all(shard, make_flows(200, prefix="later"), START_S + 60)
+        self.assertNotIn("feeds-6", later.values())
+        self.assertIn("new", later.values())
+
+    def test_limits(self):
+        """Guards against more flows at a target than its share, and an unbounded table."""
+        shard = make_shard(connections=16 * 10)
+        opened = self.open_all(shard, make_flows(100))
+        self.assertEqual(set(Counter(opened.values()).values()), {10, 30})
+        self.assertEqual(Counter(opened.values())[ResultCode.CONNECTION_LIMIT], 30)
+        shard = make_shard(max_flows=5)
+        opened = self.open_all(shard, make_flows(6))
+        self.assertEqual(opened[b"flow-5"], ResultCode.FLOW_TABLE_FULL)
+
+    def test_idle_flows_are_swept_and_used_ones_kept(self):
+        """Guards against a table that fills with abandoned flows, and against ending used ones."""
+        shard = make_shard()
+        flows = make_flows(400)
+        self.open_all(shard, flows)
+        now_s = START_S
+        while now_s < START_S + IDLE_TIMEOUT_S + 180:
+            now_s += 1
+            shard.apply_tick(now_s=now_s)
+            shard.lookup(flow=flows[0], now_s=now_s)
+        self.assertEqual([flow for flow, _ in shard.flows], flows[:1])
+
+    def test_target_lost_returns_its_flows(self):
+        """Guards against flows that stay pinned to a dead target."""
+        shard = make_shard()
+        opened = self.open_all(shard, make_flows(100))
+        ended = shard.apply_target_lost(target="feeds-1")
+        self.assertEqual(set(ended), {f for f, t in opened.items() if t == "feeds-1"})
+        self.assertEqual(shard.count("feeds-1"), 0)
+
+    def test_joining_target_starts_slowly(self):
+        """Guards against flooding a target that starts cold, because it has the fewest flows."""
+        shard = make_shard()
+        self.open_all(shard, make_flows(700))
+        targets = (*make_targets(7), make_target("new", state="joining"))
+        shard.apply_targets(targets=targets, connections=4000, now_s=START_S + 1)
+        self.open_all(shard, make_flows(70, prefix="later"), START_S + 4)
+        self.assertLessEqual(shard.count("new"), 0.15 * 100 + 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
