--- a/mulberryswitch/contracts/__init__.py
+++ b/mulberryswitch/contracts/__init__.py
@@ -23,6 +23,7 @@
     PingRequest,
     QueueHandover,
     ShardAck,
+    ShardRole,
     ShardState,
 )
 from ._packets import (
@@ -124,6 +125,7 @@
     "Settings",
     "SettingsError",
     "ShardAck",
+    "ShardRole",
     "ShardState",
     "Shed",
     "Sheet",
