Add dispatcher, request records, pending requests and zone preference

The daemon needs the request decisions as a fixed interface. Events return lists of actions; time is an argument. Records fence refused attempts, and a count bound that evicts a record keeps its deadline, so that a late copy is answered as unknown (202).

A deadline that is further ahead than 60 s gives 202 for non-idempotent requests and not a refusal: the refusal's record could expire before a late copy arrives. A missing deadline is refused (101), because such a request can never run.

--- /dev/null
+++ b/mulberryswitch/requests/__init__.py
@@ -0,0 +1,33 @@
+"""Queue, slots and records of a service, and the entry VM's pending requests."""
+
+from ._actions import (
+    Action,
+    CancelAtTarget,
+    Finish,
+    ForwardAgain,
+    ReplyToCaller,
+    SendToTarget,
+)
+from ._budget import RetryBudget
+from ._classes import WorkClassifier
+from ._dispatcher import Dispatcher, HeldRequest
+from ._pending import PendingRequests
+from ._receipts import ReceiptSigner
+from ._records import RecordState, RequestRecords
+
+__all__ = [
+    "Action",
+    "CancelAtTarget",
+    "Dispatcher",
+    "Finish",
+    "ForwardAgain",
+    "HeldRequest",
+    "PendingRequests",
+    "ReceiptSigner",
+    "RecordState",
+    "ReplyToCaller",
+    "RequestRecords",
+    "RetryBudget",
+    "SendToTarget",
+    "WorkClassifier",
+]
--- /dev/null
+++ b/mulberryswitch/requests/_actions.py
@@ -0,0 +1,56 @@
+"""Actions that the request decisions return to their caller."""
+
+from dataclasses import dataclass
+
+from mulberryswitch.contracts import Done, Forward, Reply, TargetRequest
+
+__all__ = [
+    "Action",
+    "CancelAtTarget",
+    "Finish",
+    "ForwardAgain",
+    "ReplyToCaller",
+    "SendToTarget",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class SendToTarget:
+    """Send `frame` on the link of `target`."""
+
+    target: str
+    dispatch_id: int
+    frame: TargetRequest
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAtTarget:
+    """Send a cancellation on the link of `target`, before any later ``SendToTarget``."""
+
+    target: str
+    dispatch_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyToCaller:
+    """Send `reply` to the caller through the fabric."""
+
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Tell `entry_vm` the outcome of an attempt that it forwarded."""
+
+    entry_vm: str
+    done: Done
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardAgain:
+    """Forward to the dispatcher in the current view."""
+
+    forward: Forward
+
+
+Action = SendToTarget | CancelAtTarget | ReplyToCaller | Finish | ForwardAgain
--- /dev/null
+++ b/mulberryswitch/requests/_classes.py
@@ -0,0 +1,82 @@
+"""Classes of work, learned from elapsed time."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from statistics import median
+
+__all__ = ["WorkClassifier", "WorkKind"]
+
+WorkKind = tuple[str, int]
+
+LONG_FACTOR = 8.0
+RECENT = 127
+MEDIAN_EVERY = 16
+# A kind becomes long above the first share of long runs and short again below the second.
+LONG_ABOVE, SHORT_BELOW = 0.5, 0.25
+SHARE_WEIGHT = 0.1
+MEAN_WEIGHT = 0.05
+MAX_KINDS = 4096
+
+
+@dataclass(slots=True)
+class _KindState:
+    count: int = 0
+    long_share: float = 0.0
+    is_long: bool = False
+
+
+class WorkClassifier:
+    """Tell short from long kinds of work; a kind is an address and a body size class."""
+
+    def __init__(self):
+        self._kinds: OrderedDict[WorkKind, _KindState] = OrderedDict()
+        self._recent_s: deque[float] = deque(maxlen=RECENT)
+        self._until_median = 1
+        self.median_s = 0.0
+        self.mean_s = {False: 0.0, True: 0.0}
+
+    @staticmethod
+    def kind_of(address: str, size_bytes: int) -> WorkKind:
+        """Return the kind; sizes within a factor of two share a class."""
+        return address, size_bytes.bit_length()
+
+    def is_long(self, kind: WorkKind) -> bool:
+        """Return whether requests of this kind count as long work."""
+        state = self._kinds.get(kind)
+        return state is not None and state.is_long
+
+    def is_long_run(self, elapsed_s: float) -> bool:
+        """Return whether one run of `elapsed_s` is long beside the median run."""
+        return self.median_s > 0.0 and elapsed_s > LONG_FACTOR * self.median_s
+
+    def observe_running(self, kind: WorkKind) -> None:
+        """Count a run that is already long, before it ends."""
+        self._observe_share(kind, True)
+
+    def observe_elapsed(self, kind: WorkKind, elapsed_s: float, *, counted: bool = False) -> None:
+        """Take in the time of a finished run; `counted` after ``observe_running``."""
+        self._recent_s.append(elapsed_s)
+        self._until_median -= 1
+        if self._until_median <= 0:
+            self.median_s = median(self._recent_s)
+            self._until_median = min(MEDIAN_EVERY, len(self._recent_s))
+        long_run = self.is_long_run(elapsed_s)
+        mean_s = self.mean_s[long_run]
+        self.mean_s[long_run] = mean_s + (elapsed_s - mean_s) * (MEAN_WEIGHT if mean_s else 1.0)
+        if not counted:
+            self._observe_share(kind, long_run)
+
+    def _observe_share(self, kind: WorkKind, long_run: bool) -> None:
+        state = self._kinds.get(kind)
+        if state is None:
+            state = self._kinds[kind] = _KindState()
+            if len(self._kinds) > MAX_KINDS:
+                self._kinds.popitem(last=False)
+        state.count += 1
+        # The first runs weigh more; a kind starts as one short run.
+        weight = max(SHARE_WEIGHT, 1.0 / (state.count + 1))
+        state.long_share += (long_run - state.long_share) * weight
+        if state.long_share > LONG_ABOVE:
+            state.is_long = True
+        elif state.long_share < SHORT_BELOW:
+            state.is_long = False
--- /dev/null
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -0,0 +1,694 @@
+"""Dispatcher of one service: slots, queue and request records."""
+
+import heapq
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from mulberryswitch.contracts import (
+    MAX_PIECE_BYTES,
+    AnswerPiece,
+    Done,
+    Forward,
+    LoadReport,
+    Reply,
+    ReplyKind,
+    ResultCode,
+    Target,
+    TargetRequest,
+    is_refusal,
+)
+from mulberryswitch.zones import SpillPolicy
+
+from ._actions import Action, CancelAtTarget, Finish, ReplyToCaller, SendToTarget
+from ._budget import RetryBudget
+from ._classes import WorkClassifier
+from ._long_share import LongShare
+from ._queue import RequestQueue
+from ._receipts import ReceiptSigner
+from ._records import (
+    KEEP_S,
+    MAX_DEADLINE_AHEAD_S,
+    MAX_TOLD,
+    Record,
+    RecordState,
+    RequestRecords,
+    Waiter,
+)
+from ._slots import SlotTable, TargetSlots
+from ._waits import WaitEstimate
+
+__all__ = ["Dispatcher", "HeldRequest"]
+
+MAX_QUEUED = 4096
+MAX_WAITERS = 4
+MAX_SHEDS = 20
+MIN_TIMERS = 8192
+# A queue without a reachable target waits this long for a link before it refuses.
+LINK_WAIT_S = 1.0
+# An unanswered run blames the target only when it had this many mean runs of its class.
+BLAME_MEANS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeldRequest:
+    """One queued or running request, for operators; `since_s` is when it entered its state."""
+
+    flow: bytes
+    request_id: int
+    attempt: int
+    state: str
+    target: str
+    is_long: bool
+    since_s: float
+
+
+class Dispatcher:
+    """Bind the requests of one service to free slots as late as possible.
+
+    Events return the actions to carry out, in order. Times are seconds since the epoch and never
+    decrease.
+
+    Parameters
+    ----------
+    vm, zone, service : str
+        This VM, its zone and the service.
+    slots : int
+        Slots per target.
+    signer : ReceiptSigner
+        Signs and verifies receipts.
+    first_dispatch_id : int
+        First dispatch id; ids of one process must not repeat.
+    max_queued : int
+        Bound on queued requests.
+    records : RequestRecords or None
+        Table of records; a new one by default.
+    budget : RetryBudget or None
+        Budget of repeated runs; a new one by default.
+    spill : SpillPolicy or None
+        Bound on slots that other zones hold.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        zone: str,
+        service: str,
+        slots: int,
+        signer: ReceiptSigner,
+        first_dispatch_id: int = 1,
+        max_queued: int = MAX_QUEUED,
+        records: RequestRecords | None = None,
+        budget: RetryBudget | None = None,
+        spill: SpillPolicy | None = None,
+    ):
+        self.vm = vm
+        self.zone = zone
+        self.service = service
+        self.signer = signer
+        self.max_queued = max_queued
+        self.records = records if records is not None else RequestRecords()
+        self.budget = budget if budget is not None else RetryBudget()
+        self.classifier = WorkClassifier()
+        self.counters: Counter[str] = Counter()
+        self.slots = SlotTable(slots=slots, spill=spill or SpillPolicy())
+        self._queue = RequestQueue()
+        self._long_share = LongShare(classifier=self.classifier)
+        self._waits = {False: WaitEstimate(), True: WaitEstimate()}
+        self._running: dict[int, Record] = {}
+        self._timers: list[tuple[float, int, Record]] = []
+        self._next_dispatch_id = first_dispatch_id
+        self._next_sequence = 1
+        self._no_target_since_s: float | None = None
+        self._actions: list[Action] = []
+
+    # Events
+
+    def observe_targets(self, targets: Sequence[Target], slots: int, now_s: float) -> list[Action]:
+        """Take in the published targets of the service and the slots of each."""
+        self.slots.observe_targets(targets, slots, now_s)
+        return self._decide_all(now_s)
+
+    def observe_target_up(self, target: str, now_s: float) -> list[Action]:
+        """The link to `target` is open."""
+        self.slots.observe_up(target, now_s)
+        return self._decide_all(now_s)
+
+    def observe_target_lost(self, target: str, now_s: float) -> list[Action]:
+        """The link to `target` broke; what ran there may have run."""
+        for record in [r for r in self._running.values() if r.target == target]:
+            self._apply_run_lost(record, now_s)
+        self.slots.observe_lost(target, now_s)
+        for record in [r for r in self._queue if r.forward.pinned == target]:
+            self._conclude(record, ResultCode.TARGET_LOST_BEFORE_SEND, now_s)
+        return self._decide_all(now_s)
+
+    def observe_report(self, target: str, report: LoadReport, now_s: float) -> list[Action]:
+        """Take in a target's own report; it only orders targets that have a free slot."""
+        state = self.slots.get(target)
+        if state is not None:
+            state.report, state.report_s = report, now_s
+        return []
+
+    def observe_request(self, forward: Forward, now_s: float) -> list[Action]:
+        """Take in a request that an entry VM forwarded."""
+        packet = forward.packet
+        record = self.records.get((packet.flow, packet.request_id))
+        if record is None:
+            self._observe_new(forward, now_s)
+        else:
+            self._observe_known(record, forward, now_s)
+        self.records.apply_expiry(now_s)
+        return self._decide_all(now_s)
+
+    def observe_cancel(self, forward: Forward, now_s: float) -> list[Action]:
+        """Cancel the request that `forward` names; a cancel may overtake its request."""
+        packet = forward.packet
+        record = self.records.get((packet.flow, packet.request_id))
+        if record is None:
+            # Nothing is told yet: the code answers the request when it arrives. The state is
+            # unknown because an expired record of the request may have existed.
+            record = self.records.apply_new(forward)
+            record.state, record.code = RecordState.UNKNOWN, ResultCode.CANCELLED
+            record.last_deadline_ms = packet.deadline_ms
+            record.attempt = packet.attempt
+            self.records.apply_finished(record, now_s)
+            self.records.apply_expiry(now_s)
+        elif record.is_open and packet.attempt >= record.attempt:
+            running = record.state is RecordState.RUNNING
+            if running:
+                self._apply_run_stopped(record, now_s)
+            unknown = running or record.may_have_run
+            code = ResultCode.CANCELLED_RUNNING if unknown else ResultCode.CANCELLED
+            self._conclude(record, code, now_s)
+        return self._decide_all(now_s)
+
+    def observe_answer(self, piece: AnswerPiece, now_s: float) -> list[Action]:
+        """Pass on a piece of an answer; pieces of other runs are dropped."""
+        record = self._running.get(piece.dispatch_id)
+        if record is None or piece.index < record.next_index:
+            self.counters["stale_pieces"] += 1
+            return []
+        if piece.index > record.next_index:
+            self._apply_run_stopped(record, now_s)
+            self._conclude(record, ResultCode.ANSWER_CUT, now_s)
+            return self._decide_all(now_s)
+        record.next_index += 1
+        self._apply_pieces(record, piece)
+        if piece.last:
+            state = self._apply_slot_freed(record, now_s)
+            self.slots.observe_success(state)
+            self.classifier.observe_elapsed(
+                record.kind, now_s - record.started_s, counted=record.counted_long
+            )
+            self._conclude(record, ResultCode.OK, now_s)
+        return self._decide_all(now_s)
+
+    def observe_shed(self, dispatch_id: int, now_s: float) -> list[Action]:
+        """A target says that it did not run the request and never will."""
+        record = self._running.get(dispatch_id)
+        if record is None:
+            self.counters["stale_sheds"] += 1
+            return []
+        state = self._apply_slot_freed(record, now_s)
+        self.slots.observe_shed(state, now_s)
+        self.counters["sheds"] += 1
+        record.sheds += 1
+        if record.sheds >= MAX_SHEDS:
+            self._conclude(record, ResultCode.TARGETS_SHED, now_s)
+        elif self._is_past(record, now_s):
+            self._conclude(record, ResultCode.DEADLINE_PASSED, now_s)
+        else:
+            self._apply_queued(record, front=True)
+        return self._decide_all(now_s)
+
+    def decide_tick(self, now_s: float) -> list[Action]:
+        """Apply what time alone changes; call it about every 20 ms."""
+        while self._timers and self._timers[0][0] <= now_s:
+            _, _, record = heapq.heappop(self._timers)
+            if record.is_open and self._is_past(record, now_s):
+                self._apply_deadline(record, now_s)
+        for record in self._running.values():
+            self._observe_long_run(record, now_s)
+        self._apply_link_wait(now_s)
+        self.records.apply_expiry(now_s)
+        return self._decide_all(now_s)
+
+    def apply_handover(self, now_s: float) -> list[Forward]:
+        """Empty the queue and return its requests for another dispatcher.
+
+        Requests of which an earlier run was lost are not handed over, because the other dispatcher
+        could refuse them as not run; the next event returns their unknown outcomes.
+        """
+        handed: list[Forward] = []
+        for record in sorted(self._queue, key=lambda r: r.sequence):
+            if record.may_have_run:
+                self._conclude(record, ResultCode.TARGET_LOST, now_s)
+                continue
+            self._queue.apply_removed(record)
+            record.state = RecordState.REFUSED
+            self.records.apply_removed(record)
+            handed.extend(waiter.forward for waiter in record.waiters)
+        return handed
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is queued or running."""
+        return not self._running and not len(self._queue)
+
+    def held(self) -> list[HeldRequest]:
+        """Return what is queued and running."""
+        return [
+            HeldRequest(
+                flow=record.key[0],
+                request_id=record.key[1],
+                attempt=record.attempt,
+                state=record.state.value,
+                target=record.target,
+                is_long=record.is_long,
+                since_s=record.started_s if record.target else record.queued_s,
+            )
+            for record in self.records
+            if record.is_open
+        ]
+
+    # Admission
+
+    def _observe_new(self, forward: Forward, now_s: float) -> None:
+        proven = forward.packet.attempt == 1 or self._has_receipt(forward)
+        record = self.records.apply_new(forward)
+        self._admit(record, forward, proven, now_s)
+
+    def _observe_known(self, record: Record, forward: Forward, now_s: float) -> None:
+        packet = forward.packet
+        attempt = packet.attempt
+        waiter = next((w for w in record.waiters if w.attempt == attempt), None)
+        if waiter is not None:
+            if forward.entry_vm not in waiter.entry_vms:
+                waiter.entry_vms = [*waiter.entry_vms[-(MAX_WAITERS - 1) :], forward.entry_vm]
+            return
+        if attempt in record.told:
+            self._finish(forward.entry_vm, forward, record.told[attempt])
+            return
+        waiter = Waiter(forward, [forward.entry_vm])
+        if record.is_open:
+            self._attach(record, waiter, now_s)
+        elif record.code == ResultCode.CANCELLED and attempt <= record.attempt:
+            self._observe_cancelled(record, waiter, now_s)
+        elif attempt < record.attempt:
+            self._tell(record, waiter, ResultCode.NO_PROOF)
+        else:
+            self._observe_retry(record, waiter, now_s)
+
+    def _observe_cancelled(self, record: Record, waiter: Waiter, now_s: float) -> None:
+        """Refuse a request that its cancellation has overtaken."""
+        proven = waiter.attempt == 1 or self._has_receipt(waiter.forward)
+        code = self._check_proof(waiter.forward, proven, now_s) or ResultCode.CANCELLED
+        packet = waiter.forward.packet
+        record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
+        if code == ResultCode.CANCELLED and waiter.attempt == record.attempt:
+            record.state = RecordState.REFUSED
+        self._tell(record, waiter, code)
+        self.records.apply_finished(record, now_s)
+
+    def _observe_retry(self, record: Record, waiter: Waiter, now_s: float) -> None:
+        forward = waiter.forward
+        if record.state is RecordState.ANSWERED and record.pieces is not None:
+            record.attempt = waiter.attempt
+            self._replay(record, waiter)
+            self._tell(record, waiter, ResultCode.OK)
+            return
+        if record.state is RecordState.ANSWERED and not forward.packet.idempotent:
+            record.attempt = waiter.attempt
+            self._tell(record, waiter, ResultCode.ANSWER_NOT_KEPT)
+            return
+        proven = record.state is RecordState.REFUSED and (
+            record.attempt == waiter.attempt - 1 or self._has_receipt(forward)
+        )
+        self._admit(record, forward, proven, now_s)
+
+    def _admit(self, record: Record, forward: Forward, proven: bool, now_s: float) -> None:
+        """Queue, refuse or answer as unknown a new attempt of `record`."""
+        packet = forward.packet
+        if not record.is_open:
+            self.records.apply_reopened(record)
+        record.forward = forward
+        record.attempt = packet.attempt
+        record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
+        record.waiters = [Waiter(forward, [forward.entry_vm])]
+        record.state, record.code, record.target = RecordState.QUEUED, 0, ""
+        record.sheds, record.dispatch_id, record.may_have_run = 0, 0, False
+        record.queued_s = now_s
+        record.kind = self.classifier.kind_of(packet.address, len(packet.body))
+        record.is_long = self.classifier.is_long(record.kind)
+        self.counters["requests"] += 1
+        self.budget.observe_request()
+        if not record.is_long:
+            self._observe_short(record, now_s)
+        code = self._check_proof(forward, proven, now_s) or self._check_room(record, now_s)
+        if code:
+            self._conclude(record, code, now_s, queued=False)
+            return
+        self._apply_queued(record)
+        if packet.deadline_ms:
+            self._apply_timer(record)
+
+    def _apply_timer(self, record: Record) -> None:
+        heapq.heappush(self._timers, (record.deadline_ms / 1000.0, record.sequence, record))
+        if len(self._timers) > MIN_TIMERS + 4 * (len(self._queue) + len(self._running)):
+            # Timers of ended requests stay until their deadline, which may be far ahead.
+            self._timers = [timer for timer in self._timers if timer[2].is_open]
+            heapq.heapify(self._timers)
+
+    def _observe_short(self, record: Record, now_s: float) -> None:
+        self._long_share.observe_short(now_s)
+        state = self.slots.get(record.forward.pinned)
+        if state is not None:
+            state.pinned_short_s = now_s
+
+    def _check_proof(self, forward: Forward, proven: bool, now_s: float) -> int:
+        """Return a code unless the attempt may run as far as earlier copies are concerned.
+
+        A deadline further ahead than ``MAX_DEADLINE_AHEAD_S`` gives ``NO_PROOF`` rather than a
+        refusal, because a late copy could arrive after the refusal's record has expired. The
+        same holds for an attempt whose deadline passed longer ago than records are kept.
+        """
+        packet = forward.packet
+        ahead_s = packet.deadline_ms / 1000.0 - now_s
+        if not packet.idempotent and not proven:
+            return ResultCode.NO_PROOF
+        if self.records.is_fenced((packet.flow, packet.request_id), packet.deadline_ms):
+            return ResultCode.NO_PROOF
+        if packet.deadline_ms and ahead_s <= -KEEP_S:
+            return ResultCode.NO_PROOF
+        if packet.deadline_ms and ahead_s <= 0.0:
+            return ResultCode.DEADLINE_PASSED
+        if packet.idempotent:
+            return 0
+        if not packet.deadline_ms:
+            return ResultCode.MALFORMED_PACKET
+        return ResultCode.NO_PROOF if ahead_s > MAX_DEADLINE_AHEAD_S else 0
+
+    def _check_room(self, record: Record, now_s: float) -> int:
+        pinned = record.forward.pinned
+        if pinned and self.slots.get(pinned) is None:
+            return ResultCode.TARGET_LOST_BEFORE_SEND
+        if not pinned and not any(state.takes_new_work for state in self.slots):
+            return ResultCode.NO_ACTIVE_TARGET
+        if len(self._queue) >= self.max_queued:
+            return ResultCode.QUEUE_FULL
+        if not pinned and self._is_too_late(record, now_s):
+            return ResultCode.DEADLINE_TOO_CLOSE
+        return 0
+
+    def _is_too_late(self, record: Record, now_s: float) -> bool:
+        ahead = self._queue.count[record.is_long]
+        if not ahead:
+            return False
+        usable = self.slots.usable_slots(now_s)
+        if record.is_long:
+            slots = self._long_share.limits(usable, now_s)[1]
+        else:
+            slots = usable - self.slots.long_in_flight
+        return self._waits[record.is_long].is_too_late(
+            ahead=ahead,
+            slots=slots,
+            mean_s=self.classifier.mean_s[record.is_long],
+            now_s=now_s,
+            deadline_ms=record.deadline_ms,
+        )
+
+    def _attach(self, record: Record, waiter: Waiter, now_s: float) -> None:
+        attempt = waiter.attempt
+        if attempt < record.attempt or len(record.waiters) >= MAX_WAITERS:
+            self._tell(record, waiter, ResultCode.NO_PROOF)
+            return
+        packet = waiter.forward.packet
+        record.attempt = attempt
+        record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
+        if record.sent_pieces and record.pieces is None:
+            self._tell(record, waiter, ResultCode.ANSWER_NOT_KEPT)
+            return
+        if record.state is RecordState.RUNNING:
+            self._replay(record, waiter, last=False)
+        record.waiters.append(waiter)
+
+    # Runs
+
+    def _apply_queued(self, record: Record, *, front: bool = False) -> None:
+        record.state = RecordState.QUEUED
+        record.target = ""
+        if not front:
+            record.sequence = self._next_sequence
+            self._next_sequence += 1
+        self._queue.apply_push(record, front=front)
+
+    def _decide_all(self, now_s: float) -> list[Action]:
+        """Fill free slots from the queue and return the collected actions."""
+        if len(self._queue):
+            self._fill_slots(now_s)
+        actions, self._actions = self._actions, []
+        return actions
+
+    def _fill_slots(self, now_s: float) -> None:
+        self._fill_pinned(False, now_s)
+        usable = self.slots.usable_slots(now_s)
+        floor, limit = self._long_share.limits(usable, now_s)
+        self._fill_free(True, floor, now_s)
+        self._fill_free(False, usable, now_s)
+        self._fill_pinned(True, now_s)
+        self._fill_free(True, limit, now_s)
+
+    def _fill_pinned(self, is_long: bool, now_s: float) -> None:
+        for name in self._queue.pinned_targets(is_long):
+            state = self.slots.get(name)
+            while state and self._may_run_pinned(state, is_long, now_s):
+                record = self._queue.pinned_head(is_long, name)
+                if record is None:
+                    break
+                self._start(record, state, now_s)
+
+    def _may_run_pinned(self, state: TargetSlots, is_long: bool, now_s: float) -> bool:
+        if not self.slots.has_free(state, now_s):
+            return False
+        return not is_long or self._long_share.may_take(self.slots, state, now_s)
+
+    def _fill_free(self, is_long: bool, limit: int, now_s: float) -> None:
+        while self._queue.count[is_long]:
+            free = self.slots.free_targets(now_s)
+            if is_long:
+                if self.slots.long_in_flight >= limit:
+                    return
+                free = [s for s in free if self._long_share.may_take(self.slots, s, now_s)]
+            if not free or not self._start_head(is_long, free, now_s):
+                return
+
+    def _start_head(self, is_long: bool, free: list[TargetSlots], now_s: float) -> bool:
+        """Start the oldest request that has an allowed target; return whether one left."""
+        for record in self._queue.heads(is_long):
+            state = self.slots.pick(
+                free, record.forward.entry_zone, self._queue.zone_count[is_long], now_s
+            )
+            if state is not None:
+                self._start(record, state, now_s)
+                return True
+        return False
+
+    def _start(self, record: Record, state: TargetSlots, now_s: float) -> None:
+        if self._is_past(record, now_s):
+            self._apply_deadline(record, now_s)
+            return
+        self._queue.apply_removed(record)
+        record.state = RecordState.RUNNING
+        record.target = state.name
+        record.started_s = now_s
+        record.dispatch_id = self._next_dispatch_id
+        record.next_index = record.sent_pieces = 0
+        record.counted_long = False
+        record.pieces = []
+        self._next_dispatch_id += 1
+        self._running[record.dispatch_id] = record
+        record.is_foreign = record.forward.entry_zone != state.zone
+        self.slots.apply_taken(
+            state, is_foreign=record.is_foreign, is_long=record.is_long, now_s=now_s
+        )
+        self._waits[record.is_long].observe_start(now_s)
+        self.counters["runs"] += 1
+        packet = record.forward.packet
+        frame = TargetRequest(
+            dispatch_id=record.dispatch_id,
+            flow=packet.flow,
+            request_id=packet.request_id,
+            attempt=packet.attempt,
+            deadline_ms=packet.deadline_ms,
+            idempotent=packet.idempotent,
+            trace=packet.trace,
+            body=packet.body,
+        )
+        self._actions.append(SendToTarget(state.name, record.dispatch_id, frame))
+
+    def _apply_slot_freed(self, record: Record, now_s: float) -> TargetSlots:
+        del self._running[record.dispatch_id]
+        state = self.slots.targets[record.target]
+        self.slots.apply_freed(
+            state, is_foreign=record.is_foreign, is_long=record.is_long, now_s=now_s
+        )
+        return state
+
+    def _apply_run_stopped(self, record: Record, now_s: float) -> TargetSlots:
+        self._actions.append(CancelAtTarget(record.target, record.dispatch_id))
+        return self._apply_slot_freed(record, now_s)
+
+    def _apply_run_lost(self, record: Record, now_s: float) -> None:
+        self._apply_slot_freed(record, now_s)
+        if not record.forward.packet.idempotent:
+            self._conclude(record, ResultCode.TARGET_LOST, now_s)
+            return
+        record.may_have_run = True
+        again = not record.sent_pieces and not record.forward.pinned
+        if again and not self._is_past(record, now_s) and self.budget.apply_retry():
+            self.counters["repeated_runs"] += 1
+            self._apply_queued(record, front=True)
+            return
+        self._conclude(record, ResultCode.ANSWER_CUT, now_s)
+
+    def _observe_long_run(self, record: Record, now_s: float) -> None:
+        """Count a run as long work as soon as it has taken long."""
+        if record.counted_long or not self.classifier.is_long_run(now_s - record.started_s):
+            return
+        record.counted_long = True
+        self.classifier.observe_running(record.kind)
+        if not record.is_long:
+            record.is_long = True
+            self.slots.apply_long(self.slots.targets[record.target], 1)
+
+    # Time
+
+    @staticmethod
+    def _is_past(record: Record, now_s: float) -> bool:
+        return 0 < record.deadline_ms <= now_s * 1000.0
+
+    def _apply_deadline(self, record: Record, now_s: float) -> None:
+        if record.state is RecordState.QUEUED:
+            self._conclude(record, ResultCode.DEADLINE_PASSED, now_s)
+            return
+        state = self._apply_run_stopped(record, now_s)
+        mean_s = self.classifier.mean_s[record.is_long]
+        if now_s - record.started_s > BLAME_MEANS * mean_s > 0.0:
+            self.slots.observe_failure(state, now_s)
+        self._conclude(record, ResultCode.NO_ANSWER, now_s)
+
+    def _apply_link_wait(self, now_s: float) -> None:
+        """Refuse queued requests that have had no reachable target for ``LINK_WAIT_S``."""
+        reachable = any(state.is_up and state.takes_new_work for state in self.slots)
+        if reachable or not len(self._queue):
+            self._no_target_since_s = None
+        elif self._no_target_since_s is None:
+            self._no_target_since_s = now_s
+        since_s = self._no_target_since_s
+        expired = since_s is not None and now_s - since_s >= LINK_WAIT_S
+        if not expired and not self._has_unreachable_pinned():
+            return
+        active = any(state.takes_new_work for state in self.slots)
+        code = ResultCode.NO_PATH if active else ResultCode.NO_ACTIVE_TARGET
+        for record in list(self._queue):
+            if record.forward.pinned:
+                state = self.slots.get(record.forward.pinned)
+                waited = now_s - record.queued_s >= LINK_WAIT_S
+                if waited and (state is None or not state.is_up):
+                    self._conclude(record, ResultCode.TARGET_LOST_BEFORE_SEND, now_s)
+            elif expired:
+                self._conclude(record, code, now_s)
+
+    def _has_unreachable_pinned(self) -> bool:
+        names = self._queue.pinned_targets(False) + self._queue.pinned_targets(True)
+        states = [self.slots.get(name) for name in names]
+        return any(state is None or not state.is_up for state in states)
+
+    # Outcomes
+
+    def _has_receipt(self, forward: Forward) -> bool:
+        packet = forward.packet
+        return packet.attempt > 1 and self.signer.verify(
+            self.service, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
+        )
+
+    def _conclude(self, record: Record, code: int, now_s: float, *, queued: bool = True) -> None:
+        """Give every waiting attempt of `record` its outcome."""
+        if queued and record.state is RecordState.QUEUED:
+            self._queue.apply_removed(record)
+        if record.may_have_run and is_refusal(code):
+            # An earlier run of this request was lost, so it can't be refused as not run.
+            code = ResultCode.TARGET_LOST
+        record.code = code
+        if code == ResultCode.OK:
+            record.state = RecordState.ANSWERED
+        else:
+            record.state = RecordState.REFUSED if is_refusal(code) else RecordState.UNKNOWN
+        for waiter in record.waiters:
+            self._tell(record, waiter, code)
+        record.waiters = []
+        self.records.apply_finished(record, now_s)
+
+    def _tell(self, record: Record, waiter: Waiter, code: int) -> None:
+        """Tell the caller and the entry VMs the outcome of one attempt."""
+        packet = waiter.forward.packet
+        record.told[packet.attempt] = code
+        if len(record.told) > MAX_TOLD:
+            del record.told[min(record.told)]
+        self.counters[ResultCode(code).name] += 1
+        if code != ResultCode.OK:
+            refused = is_refusal(code)
+            reply = Reply(
+                kind=ReplyKind.REFUSED if refused else ReplyKind.UNKNOWN,
+                flow=packet.flow,
+                request_id=packet.request_id,
+                attempt=packet.attempt,
+                code=code,
+                receipt=self._sign(waiter.forward) if refused else b"",
+            )
+            self._actions.append(ReplyToCaller(reply))
+        for entry_vm in waiter.entry_vms:
+            self._finish(entry_vm, waiter.forward, code)
+
+    def _sign(self, forward: Forward) -> bytes:
+        packet = forward.packet
+        return self.signer.sign(self.service, packet.flow, packet.request_id, packet.attempt)
+
+    def _finish(self, entry_vm: str, forward: Forward, code: int) -> None:
+        packet = forward.packet
+        done = Done(
+            flow=packet.flow, request_id=packet.request_id, attempt=packet.attempt, code=code
+        )
+        self._actions.append(Finish(entry_vm, done))
+
+    def _apply_pieces(self, record: Record, piece: AnswerPiece) -> None:
+        """Pass on a target's piece in pieces that fit a datagram."""
+        body = piece.body
+        starts = range(0, max(1, len(body)), MAX_PIECE_BYTES)
+        for start in starts:
+            part = body[start : start + MAX_PIECE_BYTES]
+            last = piece.last and start == starts[-1]
+            self.records.apply_piece(record, part)
+            for waiter in record.waiters:
+                self._send_piece(waiter, record.sent_pieces, last, part)
+            record.sent_pieces += 1
+
+    def _replay(self, record: Record, waiter: Waiter, *, last: bool = True) -> None:
+        pieces = record.pieces or []
+        for index, part in enumerate(pieces):
+            self._send_piece(waiter, index, last and index == len(pieces) - 1, part)
+
+    def _send_piece(self, waiter: Waiter, index: int, last: bool, body: bytes) -> None:
+        packet = waiter.forward.packet
+        reply = Reply(
+            kind=ReplyKind.ANSWER,
+            flow=packet.flow,
+            request_id=packet.request_id,
+            attempt=packet.attempt,
+            index=index,
+            last=last,
+            body=body,
+        )
+        self._actions.append(ReplyToCaller(reply))
--- /dev/null
+++ b/mulberryswitch/requests/_receipts.py
@@ -0,0 +1,35 @@
+"""Receipts that prove that an attempt and all earlier ones were not run."""
+
+import hmac
+import struct
+
+__all__ = ["RECEIPT_BYTES", "ReceiptSigner"]
+
+RECEIPT_BYTES = 16
+DOMAIN = b"mulberryswitch receipt 1"
+
+
+class ReceiptSigner:
+    """Sign and verify receipts with the fleet's key.
+
+    Parameters
+    ----------
+    key : bytes
+        Secret that all VMs of the fleet share.
+    """
+
+    def __init__(self, key: bytes):
+        self._key = key
+
+    def sign(self, service: str, flow: bytes, request_id: int, attempt: int) -> bytes:
+        """Return the receipt for the refusal of `attempt`."""
+        name = service.encode()
+        # Lengths before the variable fields keep ("ab", b"c") apart from ("a", b"bc").
+        head = struct.pack(">HHQQ", len(name), len(flow), request_id, attempt)
+        return hmac.digest(self._key, DOMAIN + head + name + flow, "sha256")[:RECEIPT_BYTES]
+
+    def verify(
+        self, service: str, flow: bytes, request_id: int, attempt: int, receipt: bytes
+    ) -> bool:
+        """Return whether `receipt` proves the refusal of `attempt`."""
+        return hmac.compare_digest(self.sign(service, flow, request_id, attempt), receipt)
