--- a/mulberryswitch/observability/_metrics.py
+++ b/mulberryswitch/observability/_metrics.py
@@ -46,5 +46,3 @@
         for name, value in gauges.items():
             self._gauge.set({"name": name}, value)
         return render(self.registry, [accept] if accept else [])
-
-
