--- /dev/null
+++ b/mulberryswitch/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from ._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/mulberryswitch/cli/_main.py
@@ -0,0 +1,244 @@
+"""The command line of mulberryswitch."""
+
+import json
+import sys
+import time
+import urllib.error
+import urllib.parse
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+import click
+
+from mulberryswitch import __version__
+from mulberryswitch.configuration import SheetRefusedError, check_sheet
+from mulberryswitch.contracts import Settings, SettingsError, read_settings
+from mulberryswitch.daemon import run_node
+from mulberryswitch.observability import configure_logs
+
+__all__ = ["main"]
+
+EXIT_REFUSED = 1
+EXIT_UNREACHABLE = 3
+ASK_TIMEOUT_S = 3.0
+
+output_option = click.option(
+    "--output",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Form of the answer.",
+)
+operator_option = click.option(
+    "--operator",
+    "operators",
+    multiple=True,
+    required=True,
+    metavar="IP:PORT",
+    help="Operator port of a VM; repeat it to ask several.",
+)
+
+
+def _load_settings(path: Path) -> Settings:
+    try:
+        return read_settings(path)
+    except SettingsError as exc:
+        for problem in exc.exceptions:
+            click.echo(str(problem), err=True)
+        sys.exit(EXIT_REFUSED)
+
+
+def _ask(operator: str, path: str) -> Any:
+    with urllib.request.urlopen(f"http://{operator}{path}", timeout=ASK_TIMEOUT_S) as response:
+        return json.load(response)
+
+
+def _ask_all(operators: tuple[str, ...], path: str) -> tuple[dict[str, Any], bool]:
+    """Return the answer of each operator port, and whether all answered."""
+    answers: dict[str, Any] = {}
+    reached = True
+    for operator in operators:
+        try:
+            answers[operator] = _ask(operator, path)
+        except (OSError, urllib.error.URLError, ValueError) as exc:
+            answers[operator] = {"error": str(exc)}
+            reached = False
+    return answers, reached
+
+
+def _finish(reached: bool) -> None:
+    sys.exit(0 if reached else EXIT_UNREACHABLE)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__)
+def main() -> None:
+    """Layer-4 load balancer for fleets of small VMs.
+
+    \b
+    Exit codes: 0 done; 1 refused; 2 wrong usage; 3 a VM did not answer.
+    Shell completion: eval "$(_MULBERRYSWITCH_COMPLETE=bash_source mulberryswitch)"
+    """
+
+
+@main.command()
+@click.option(
+    "--config", "path", required=True, type=click.Path(path_type=Path), help="INI file of this VM."
+)
+def node(path: Path) -> None:
+    """Run the daemon of an entry VM until SIGTERM.
+
+    \b
+    Example: mulberryswitch node --config /etc/mulberryswitch/node.ini
+    """
+    settings = _load_settings(path)
+    configure_logs(level=settings.logs.level, vm=settings.node.vm)
+    run_node(settings=settings)
+
+
+@main.command("check-settings")
+@click.argument("path", type=click.Path(path_type=Path))
+@output_option
+def check_settings_command(path: Path, output: str) -> None:
+    """Check an INI file and name each wrong key.
+
+    \b
+    Example: mulberryswitch check-settings node.ini
+    """
+    try:
+        settings = read_settings(path)
+    except SettingsError as exc:
+        problems = [
+            {"code": int(problem.code), "message": str(problem)} for problem in exc.exceptions
+        ]
+        if output == "json":
+            click.echo(json.dumps({"ok": False, "problems": problems}))
+        else:
+            click.echo("\n".join(problem["message"] for problem in problems))
+        sys.exit(EXIT_REFUSED)
+    if output == "json":
+        click.echo(json.dumps({"ok": True, "vm": settings.node.vm}))
+    else:
+        click.echo(f"{path}: settings of VM {settings.node.vm} are valid")
+
+
+@main.command("check-config")
+@click.argument("path", type=click.Path(path_type=Path))
+@output_option
+def check_config(path: Path, output: str) -> None:
+    """Check a sheet as the VMs do and name each refused item with its code.
+
+    Addresses that an earlier sheet bound to another service are known to the VMs only.
+
+    \b
+    Example: mulberryswitch check-config sheet.json
+    """
+    try:
+        sheet = check_sheet(document=path.read_bytes(), version=1, tombstones={})
+    except OSError as exc:
+        raise click.ClickException(str(exc)) from exc
+    except SheetRefusedError as exc:
+        problems = [
+            {"code": int(p.code), "item": p.item, "message": p.message} for p in exc.problems
+        ]
+        if output == "json":
+            click.echo(json.dumps({"ok": False, "problems": problems}))
+        else:
+            for problem in problems:
+                click.echo(f"{problem['code']} {problem['item']}: {problem['message']}")
+        sys.exit(EXIT_REFUSED)
+    targets = sum(len(service.targets) for service in sheet.services.values())
+    summary = {"ok": True, "services": len(sheet.services), "targets": targets}
+    if output == "json":
+        click.echo(json.dumps(summary))
+    else:
+        click.echo(f"{path}: valid, {len(sheet.services)} services, {targets} targets")
+
+
+@main.command()
+@operator_option
+@output_option
+def status(operators: tuple[str, ...], output: str) -> None:
+    """Show the version in force, refusals, members and targets of one or more VMs.
+
+    \b
+    Example: mulberryswitch status --operator 10.0.0.5:7100 --operator 10.0.0.6:7100
+    """
+    answers, reached = _ask_all(operators, "/v1/status")
+    if output == "json":
+        click.echo(json.dumps(answers))
+        _finish(reached)
+    for operator, answer in answers.items():
+        click.echo(_describe_status(operator, answer))
+    _finish(reached)
+
+
+def _describe_status(operator: str, answer: dict[str, Any]) -> str:
+    if "error" in answer:
+        return f"{operator}: no answer: {answer['error']}"
+    since = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(answer["since_s"]))
+    lines = [
+        f"{answer['vm']} ({answer['zone']}): version {answer['version']} in force since {since}"
+    ]
+    for refused in answer["refused"]:
+        lines.append(f"  refused version {refused['version']}: {refused['problem_count']} problems")
+        lines += [f"    {p['code']} {p['item']}: {p['message']}" for p in refused["problems"][:10]]
+    lines += [f"  member {m['vm']} ({m['zone']}): {m['state']}" for m in answer["members"]]
+    lines += [
+        f"  target {t['target']} of {t['service']} ({t['zone']}): {t['state']}, "
+        f"{t['flows']} flows here, {'linked' if t['linked'] else 'not linked'}"
+        for t in answer["targets"]
+    ]
+    return "\n".join(lines)
+
+
+@main.command()
+@click.argument("flow")
+@click.option("--address", required=True, metavar="IP:PORT", help="Service address of the flow.")
+@operator_option
+@output_option
+def explain(flow: str, address: str, operators: tuple[str, ...], output: str) -> None:
+    """Show service, shard, owner and target of FLOW, a flow id in hexadecimal.
+
+    \b
+    Example: mulberryswitch explain 00ff12ab --address 10.1.0.1:443 --operator 10.0.0.5:7100
+    """
+    query = urllib.parse.urlencode({"flow": flow, "address": address})
+    answers, reached = _ask_all(operators, f"/v1/explain?{query}")
+    if output == "json":
+        click.echo(json.dumps(answers))
+    else:
+        for operator, answer in answers.items():
+            facts = ", ".join(f"{name} {value}" for name, value in answer.items())
+            click.echo(f"{operator}: {facts}")
+    _finish(reached)
+
+
+@main.command()
+@operator_option
+@output_option
+def drain(operators: tuple[str, ...], output: str) -> None:
+    """Show which flows and requests still hold a leaving VM or target open.
+
+    \b
+    Example: mulberryswitch drain --operator 10.0.0.5:7100
+    """
+    answers, reached = _ask_all(operators, "/v1/holds")
+    if output == "json":
+        click.echo(json.dumps(answers))
+        _finish(reached)
+    for operator, answer in answers.items():
+        if "error" in answer:
+            click.echo(f"{operator}: no answer: {answer['error']}")
+            continue
+        state = "leaving" if answer["leaving"] else "serving"
+        click.echo(f"{answer['vm']} ({state}): {answer['pending']} forwarded requests pending")
+        for target, flows in answer["flows"].items():
+            click.echo(f"  target {target}: {flows} open flows")
+        for held in answer["requests"]:
+            click.echo(
+                f"  request {held['flow']}/{held['request_id']} of {held['service']}: "
+                f"{held['state']} {held['target']}"
+            )
+    _finish(reached)
--- a/mulberryswitch/contracts/_settings.py
+++ b/mulberryswitch/contracts/_settings.py
@@ -114,6 +114,11 @@
         default="", description="comma-separated IP:PORT of some VMs to join at start"
     )
 
+    @property
+    def seed_endpoints(self) -> tuple[str, ...]:
+        """The items of `seeds`."""
+        return split_endpoints(self.seeds)
+
 
 class FabricSettings(_Section):
     """Section ``[fabric]``: where packets of callers arrive."""
--- /dev/null
+++ b/mulberryswitch/daemon/__init__.py
@@ -0,0 +1,27 @@
+"""The daemon of an entry VM."""
+
+from ._core import NodeCore, NodeIdentity, Shutdown, Tick
+from ._flow_service import FlowService
+from ._node import Node, run_node
+from ._request_service import RequestService
+from ._status import build_explanation, build_gauges, build_holds, build_status
+from ._target_sessions import TargetSessions
+from ._view import View, build_effective_sheet
+
+__all__ = [
+    "FlowService",
+    "Node",
+    "NodeCore",
+    "NodeIdentity",
+    "RequestService",
+    "Shutdown",
+    "TargetSessions",
+    "Tick",
+    "View",
+    "build_effective_sheet",
+    "build_explanation",
+    "build_gauges",
+    "build_holds",
+    "build_status",
+    "run_node",
+]
--- /dev/null
+++ b/mulberryswitch/daemon/_core.py
@@ -0,0 +1,589 @@
+"""The decisions of one VM as a deterministic state machine: events in, effects out."""
+
+import itertools
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from random import Random
+from typing import Any
+
+from mulberryswitch.configuration import TICK_S, ConfigExchange, ConfigStore
+from mulberryswitch.contracts import (
+    Ack,
+    Announce,
+    ConfigAnnounce,
+    ConfigDocument,
+    ConfigPull,
+    Declined,
+    DecodeError,
+    Done,
+    Forward,
+    LeavingTargets,
+    MemberState,
+    Packet,
+    PacketKind,
+    Reply,
+    ReplyKind,
+    ResultCode,
+    ShardAck,
+    ShardState,
+    check_packet,
+)
+from mulberryswitch.links import (
+    ClosePeer,
+    ConfigRead,
+    ConfigReadFailed,
+    FabricPackets,
+    MemberDatagram,
+    PeerLost,
+    PeerMessages,
+    PeerUnsent,
+    PeerUp,
+    ReadConfig,
+    ReadVmList,
+    TargetFrames,
+    TargetLost,
+    TargetUp,
+    ToFabric,
+    ToMember,
+    ToPeer,
+    VmEntry,
+    VmListRead,
+)
+from mulberryswitch.observability import RecordHop, record_no_hop
+from mulberryswitch.requests import ReceiptSigner
+from mulberryswitch.routing import (
+    Drop,
+    FlowShards,
+    ForwardTo,
+    RefuseLocally,
+    Route,
+    Router,
+    ServeFlow,
+    ServeRequest,
+)
+from mulberryswitch.vms import Membership, PauseDetector, Send
+
+from ._flow_service import FlowService
+from ._request_service import RequestService
+from ._target_sessions import TargetSessions
+from ._view import View, build_effective_sheet
+
+__all__ = ["NodeCore", "NodeIdentity", "Shutdown", "Tick"]
+
+ANNOUNCE_PERIOD_S = 0.2
+LIST_PERIOD_S = 1.0
+# A VM that no peer answers reads the list as well, to find the fleet again.
+LONELY_LIST_PERIOD_S = 5.0
+LEAVING_REPEAT_S = 5.0
+LEAVING_KEEP_S = 30.0
+MEMBER_TICK_S = 0.1
+SHARD_TICK_S = 0.1
+MAX_HELD = 10_000
+
+log = logging.getLogger("node")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NodeIdentity:
+    """Who this VM is; `address` is its peer address ``host:port``."""
+
+    vm: str
+    zone: str
+    address: str
+    incarnation: int
+    seeds: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Shutdown:
+    """Hand everything over and get ready to exit."""
+
+
+class NodeCore:
+    """All decisions of one VM.
+
+    ``handle`` takes an event of a link and the time and returns the effects for the links. The
+    state opens no socket and reads no clock, so tests drive several of them step by step.
+
+    Parameters
+    ----------
+    identity : NodeIdentity
+        Names and addresses of this VM.
+    key : bytes
+        Shared key of the fleet.
+    rng : random.Random
+        Random source.
+    max_queued, max_pending : int
+        Bounds on the queue of a service and on forwarded requests.
+    count : callable
+        ``count(name, amount)``.
+    record_hop : callable
+        Records a span per hop and returns the trace context for the next one.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: NodeIdentity,
+        key: bytes,
+        rng: Random,
+        max_queued: int = 1000,
+        max_pending: int = 50_000,
+        count: Callable[[str, int], None],
+        record_hop: RecordHop = record_no_hop,
+    ):
+        self.identity = identity
+        self.rng = rng
+        self.count = count
+        self.record_hop = record_hop
+        self.is_leaving = False
+        self.view = View(vm=identity.vm, zone=identity.zone)
+        self.store = ConfigStore()
+        self.exchange = ConfigExchange(vm=identity.vm, zone=identity.zone, store=self.store)
+        self.membership = Membership(
+            vm=identity.vm,
+            zone=identity.zone,
+            address=identity.address,
+            incarnation=identity.incarnation,
+        )
+        self.pause = PauseDetector()
+        self.shards = FlowShards(vm=identity.vm, zone=identity.zone)
+        self.router = Router(vm=identity.vm, zone=identity.zone, shards=self.shards)
+        self.sessions = TargetSessions(emit=self._emit)
+        self.flows = FlowService(
+            view=self.view,
+            shards=self.shards,
+            router=self.router,
+            sessions=self.sessions,
+            emit=self._emit,
+            follow=self._follow,
+            count=count,
+        )
+        self.requests = RequestService(
+            view=self.view,
+            signer=ReceiptSigner(key),
+            sessions=self.sessions,
+            max_queued=max_queued,
+            max_pending=max_pending,
+            first_dispatch_id=identity.incarnation << 20,
+            emit=self._emit,
+            send_peer=self._send_peer,
+            forward_again=self._forward_again,
+            count=count,
+        )
+        self._effects: list[Any] = []
+        self._held: list[tuple[Route, Forward]] = []
+        self._service_by_target: dict[str, str] = {}
+        self._leaving_by_sender: dict[str, tuple[float, frozenset[str]]] = {}
+        self._leaving_told: frozenset[str] = frozenset()
+        self._seen_sheet: tuple | None = None
+        self._seen_members = -1
+        self._routable: frozenset[str] = frozenset()
+        self._due_s: dict[str, float] = {}
+
+    # Events
+
+    def handle(self, event: Any, now_s: float) -> list[Any]:
+        """Take in an event and return the effects, in order."""
+        self._observe_time(now_s)
+        match event:
+            case FabricPackets():
+                for packet in event.packets:
+                    self._observe_packet(packet, now_s)
+            case PeerMessages():
+                for message in event.messages:
+                    self._observe_message(event.vm, message, now_s)
+            case TargetFrames():
+                self._observe_frames(event, now_s)
+            case MemberDatagram():
+                self._observe_datagram(event, now_s)
+            case Tick():
+                self._apply_tick(now_s)
+            case _:
+                self._observe_link(event, now_s)
+        self._refresh_view(now_s)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _observe_link(self, event: Any, now_s: float) -> None:
+        match event:
+            case PeerUp():
+                self._observe_peer_up(event, now_s)
+            case PeerUnsent():
+                for message in event.messages:
+                    self.requests.observe_unsent(message, now_s)
+            case PeerLost():
+                self._send_members(self.membership.observe_link_lost(vm=event.vm, now_s=now_s))
+                self.requests.observe_link_lost(event.vm, now_s)
+            case TargetUp():
+                if self.sessions.observe_up(event.target):
+                    service = self._service_by_target.get(event.target, "")
+                    self.requests.observe_target_up(service, event.target, now_s)
+            case TargetLost():
+                if self.sessions.observe_lost(event.target, now_s):
+                    service = self._service_by_target.get(event.target, "")
+                    self.requests.observe_target_lost(service, event.target, now_s)
+            case ConfigRead(document=None):
+                self.exchange.observe_platform_unchanged(now_s=now_s)
+            case ConfigRead():
+                self._observe_document(event, now_s)
+            case ConfigReadFailed():
+                self.exchange.observe_platform_failure(now_s=now_s)
+                log.warning("platform: configuration not read", extra={"reason": event.reason})
+            case VmListRead():
+                if event.entries is not None:
+                    self._observe_list(event.entries, now_s)
+            case Shutdown():
+                self._apply_shutdown(now_s)
+            case _:
+                raise TypeError(f"unknown event {type(event).__name__}")
+
+    def _observe_time(self, now_s: float) -> None:
+        """After a pause, take no new work before the view has been checked.
+
+        Queued requests are taken out of the dispatchers first, because the next event may free a
+        slot and would start one of them although another VM may be the dispatcher by now.
+        """
+        if not self.pause.observe_tick(now_s=now_s):
+            return
+        self.count("pauses", 1)
+        log.warning("node: process was paused, new work is held until a peer answers")
+        self._send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+        self._send_all(self.shards.decide_tick(now_s=now_s), now_s)
+        for forward in self.requests.apply_handover(list(self.requests.dispatchers), now_s):
+            self._held.append((ServeRequest(service=forward.service), forward))
+
+    # Packets
+
+    def _observe_packet(self, packet: Any, now_s: float) -> None:
+        try:
+            if not isinstance(packet, Packet):
+                raise DecodeError("not a caller's packet")
+            check_packet(packet)
+        except DecodeError:
+            self.count("packets_malformed", 1)
+            return
+        self.count("packets", 1)
+        if packet.trace:
+            attributes = {"kind": packet.kind, "address": packet.address}
+            packet = replace(packet, trace=self.record_hop("entry", packet.trace, attributes))
+        view = self.view
+        route = self.router.decide(
+            packet=packet,
+            sheet=view.sheet,
+            members=view.members,
+            members_version=view.members_version,
+            now_s=now_s,
+        )
+        if isinstance(route, ForwardTo):
+            self._follow(route, route.forward, now_s)
+            return
+        service = view.sheet.service_by_address.get(packet.address, "") if view.sheet else ""
+        forward = Forward(
+            packet=packet,
+            service=service,
+            version=view.sheet.version if view.sheet else 0,
+            hops=0,
+            entry_vm=view.vm,
+            entry_zone=view.zone,
+        )
+        self._follow(route, forward, now_s)
+
+    def _observe_forward(self, forward: Forward, now_s: float) -> None:
+        try:
+            packet = check_packet(forward.packet)
+        except DecodeError:
+            self.count("packets_malformed", 1)
+            return
+        if packet.trace:
+            trace = self.record_hop("owner", packet.trace, {"service": forward.service})
+            forward = replace(forward, packet=replace(packet, trace=trace))
+        self._route_forward(forward, now_s)
+
+    def _route_forward(self, forward: Forward, now_s: float) -> None:
+        route = self.router.decide_forwarded(
+            forward=forward,
+            sheet=self.view.sheet,
+            members=self.view.members,
+            members_version=self.view.members_version,
+            now_s=now_s,
+        )
+        self._follow(route, forward, now_s)
+
+    def _forward_again(self, forward: Forward, now_s: float) -> None:
+        self._route_forward(forward, now_s)
+
+    def _follow(self, route: Route, forward: Forward, now_s: float) -> None:
+        """Carry out a route of `forward`."""
+        match route:
+            case ServeFlow():
+                self.flows.apply_packet(forward, route.shard, now_s)
+            case ServeRequest():
+                self._serve_request(route, forward, now_s)
+            case ForwardTo():
+                self._forward(route, now_s)
+            case RefuseLocally():
+                self._refuse(forward, route.code, now_s)
+            case Drop():
+                self.count("packets_dropped", 1)
+
+    def _serve_request(self, route: ServeRequest, forward: Forward, now_s: float) -> None:
+        if not self._may_start_work(now_s):
+            if len(self._held) < MAX_HELD:
+                self._held.append((route, forward))
+            else:
+                self._refuse(forward, ResultCode.QUEUE_FULL, now_s)
+            return
+        self.requests.apply_request(forward, route.pinned, now_s)
+
+    def _may_start_work(self, now_s: float) -> bool:
+        has_peers = len(self.view.members) > 1
+        return self.pause.may_start_work(now_s=now_s, has_live_peers=has_peers)
+
+    def _forward(self, route: ForwardTo, now_s: float) -> None:
+        forward = route.forward
+        if forward.packet.kind in (PacketKind.REQUEST, PacketKind.CANCEL):
+            self.requests.apply_forward(route.vm, forward, now_s)
+        else:
+            self._send_peer(route.vm, forward, now_s)
+
+    def _refuse(self, forward: Forward, code: int, now_s: float) -> None:
+        packet = forward.packet
+        if packet.kind == PacketKind.REQUEST:
+            self.requests.apply_refusal(forward, code, now_s)
+        elif packet.kind == PacketKind.OPEN:
+            reply = Reply(kind=ReplyKind.REFUSED, flow=packet.flow, code=code)
+            self._emit(ToFabric(message=reply))
+        else:
+            self.count("packets_dropped", 1)
+
+    # Peers
+
+    def _observe_message(self, vm: str, message: Any, now_s: float) -> None:
+        match message:
+            case Forward():
+                self._observe_forward(message, now_s)
+            case Done():
+                self.requests.observe_done(message, now_s)
+            case Declined():
+                self.requests.observe_declined(message, now_s)
+            case ShardState():
+                sends = self.shards.observe_state(sender_vm=vm, state=message, now_s=now_s)
+                self._send_all(sends, now_s)
+            case ShardAck():
+                sends = self.shards.observe_ack(sender_vm=vm, ack=message, now_s=now_s)
+                self._send_all(sends, now_s)
+            case ConfigAnnounce() | ConfigPull() | ConfigDocument():
+                sends = self.exchange.observe_message(sender_vm=vm, message=message, now_s=now_s)
+                self._send_all(sends, now_s)
+            case LeavingTargets():
+                self._leaving_by_sender[vm] = (now_s, frozenset(message.names))
+            case _:
+                self.count("peer_messages_unknown", 1)
+
+    def _observe_peer_up(self, event: PeerUp, now_s: float) -> None:
+        known = self.membership.members.get(event.vm)
+        if known is not None:
+            self.membership.observe_link_up(
+                vm=event.vm,
+                zone=event.zone,
+                address=known.address,
+                incarnation=event.incarnation,
+                now_s=now_s,
+            )
+
+    def _send_peer(self, vm: str, message: Any, now_s: float) -> None:
+        member = self.membership.members.get(vm)
+        if member is not None and member.state is not MemberState.DEAD:
+            self._emit(ToPeer(vm=vm, address=member.address, message=message))
+        else:
+            self.requests.observe_unsent(message, now_s)
+
+    def _send_all(self, sends: Sequence[Any], now_s: float) -> None:
+        for send in sends:
+            self._send_peer(send.vm, send.message, now_s)
+
+    def _send_members(self, sends: Sequence[Send] | None) -> None:
+        for send in sends or ():
+            self._emit(ToMember(address=send.address, message=send.message))
+
+    def _observe_datagram(self, event: MemberDatagram, now_s: float) -> None:
+        sends = self.membership.observe_message(
+            message=event.message, sender_address=event.sender, now_s=now_s, rng=self.rng
+        )
+        if isinstance(event.message, Ack):
+            self.pause.observe_peer_ack(now_s=now_s, sent_s=self.membership.acknowledged_s)
+        self._send_members(sends)
+
+    # Targets
+
+    def _observe_frames(self, event: TargetFrames, now_s: float) -> None:
+        service = self._service_by_target.get(event.target, "")
+        for frame in event.frames:
+            self.flows.observe_frame(service, frame, now_s)
+            self.requests.observe_frame(service, event.target, frame, now_s)
+
+    # Platform
+
+    def _observe_document(self, event: ConfigRead, now_s: float) -> None:
+        offer = self.exchange.observe_platform(
+            document=event.document, version=event.version, now_s=now_s
+        )
+        if offer is not None and offer.problems:
+            codes = sorted({int(problem.code) for problem in offer.problems})
+            log.error(
+                "configuration: version refused", extra={"version": event.version, "codes": codes}
+            )
+
+    def _observe_list(self, entries: Sequence[VmEntry], now_s: float) -> None:
+        targets = self._service_by_target
+        vms = [entry for entry in entries if entry.vm not in targets]
+        self.membership.observe_list(entries=vms, now_s=now_s)
+        names = frozenset(entry.vm for entry in entries if entry.leaving and entry.vm in targets)
+        self._leaving_by_sender[self.view.vm] = (now_s, names)
+        if names != self._leaving_told or self._is_due("leaving", LEAVING_REPEAT_S, now_s):
+            self._leaving_told = names
+            message = LeavingTargets(names=tuple(sorted(names)))
+            for member in self.view.members:
+                if member.vm != self.view.vm and member.zone == self.view.zone:
+                    self._send_peer(member.vm, message, now_s)
+
+    # Time
+
+    def _is_due(self, name: str, period_s: float, now_s: float) -> bool:
+        if now_s < self._due_s.get(name, 0.0):
+            return False
+        self._due_s[name] = now_s + period_s
+        return True
+
+    def _apply_tick(self, now_s: float) -> None:
+        if not self._due_s:
+            self.membership.observe_seeds(addresses=self.identity.seeds, now_s=now_s)
+        if self._is_due("members", MEMBER_TICK_S, now_s):
+            self._send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+        if self._is_due("shards", SHARD_TICK_S, now_s):
+            self._send_all(self.shards.decide_tick(now_s=now_s), now_s)
+        if self._is_due("configuration", TICK_S, now_s):
+            self._send_all(self.exchange.decide_tick(now_s=now_s, rng=self.rng), now_s)
+            self._read_platform(now_s)
+        if self._is_due("announce", ANNOUNCE_PERIOD_S, now_s):
+            self._announce()
+        if self._held and self._may_start_work(now_s):
+            self._release_held(now_s)
+        if self._may_start_work(now_s):
+            self.requests.decide_tick(now_s)
+        for target in self.sessions.decide_lost(now_s):
+            self.flows.observe_target_gone(self._service_by_target.get(target, ""), target)
+
+    def _release_held(self, now_s: float) -> None:
+        held, self._held = self._held, []
+        for _, forward in held:
+            self._route_forward(replace(forward, hops=0), now_s)
+
+    def _read_platform(self, now_s: float) -> None:
+        if self.is_leaving:
+            return
+        plan = self.exchange.decide_platform_read(now_s=now_s, rng=self.rng)
+        if plan is not None:
+            self._emit(ReadConfig(after=plan.after, wait_s=plan.wait_s))
+        lonely = len(self.view.members) <= 1
+        period_s = LIST_PERIOD_S if self.exchange.is_reader else LONELY_LIST_PERIOD_S
+        if (lonely or self.exchange.is_reader) and self._is_due("list", period_s, now_s):
+            self._emit(ReadVmList())
+
+    def _announce(self) -> None:
+        # Without a configuration this VM could only refuse.
+        if self.view.sheet is not None:
+            withdrawn = self.is_leaving
+            self._emit(ToFabric(message=Announce(vm=self.view.vm, withdrawn=withdrawn)))
+
+    # View
+
+    def _refresh_view(self, now_s: float) -> None:
+        """Pass changes of the members and of the configuration on to the parts."""
+        members_changed = self.membership.version != self._seen_members
+        if members_changed:
+            self._seen_members = self.membership.version
+            self._observe_members(now_s)
+        leaving = self._list_leaving(now_s)
+        seen = (id(self.store.sheet), leaving)
+        sheet_changed = self.store.sheet is not None and seen != self._seen_sheet
+        if sheet_changed:
+            self._seen_sheet = seen
+            self._observe_sheet(leaving, now_s)
+        if members_changed or sheet_changed:
+            self._yield_queues(now_s)
+
+    def _list_leaving(self, now_s: float) -> frozenset[str]:
+        known = self._leaving_by_sender
+        for vm in [vm for vm, (seen_s, _) in known.items() if now_s - seen_s > LEAVING_KEEP_S]:
+            del known[vm]
+        return frozenset(itertools.chain.from_iterable(names for _, names in known.values()))
+
+    def _observe_members(self, now_s: float) -> None:
+        self.view.members = self.membership.live()
+        self.view.members_version += 1
+        routable = frozenset(member.vm for member in self.membership.routable())
+        for vm in self._routable - routable:
+            self._emit(ClosePeer(vm=vm))
+            log.warning("members: VM is dead", extra={"peer": vm})
+        self._routable = routable
+        self.exchange.observe_members(members=self.membership.routable(), now_s=now_s)
+        sends = self.shards.observe_members(live_members=self.view.members, now_s=now_s)
+        self._send_all(sends, now_s)
+
+    def _observe_sheet(self, leaving: frozenset[str], now_s: float) -> None:
+        sheet = build_effective_sheet(self.store.sheet, leaving)
+        self.view.sheet = sheet
+        self._service_by_target |= {
+            target.name: service.name
+            for service in sheet.services.values()
+            for target in service.targets
+        }
+        self._send_all(self.shards.observe_sheet(sheet=sheet, now_s=now_s), now_s)
+        self.requests.observe_targets(now_s)
+        log.info(
+            "configuration: version in force",
+            extra={"version": sheet.version, "leaving": sorted(leaving)},
+        )
+
+    def _yield_queues(self, now_s: float) -> None:
+        """Pass on the queues of services that another VM dispatches now."""
+        lost = [name for name in self.requests.dispatchers if not self._dispatches(name)]
+        for forward in self.requests.apply_handover(lost, now_s):
+            self._forward_again(replace(forward, hops=0), now_s)
+
+    def _dispatches(self, service: str) -> bool:
+        if self.view.sheet is None or service not in self.view.sheet.services:
+            return False
+        vm = self.router.pick_dispatcher(
+            service=service,
+            sheet=self.view.sheet,
+            members=self.view.members,
+            members_version=self.view.members_version,
+        )
+        return vm == self.view.vm
+
+    # Shutdown
+
+    def _apply_shutdown(self, now_s: float) -> None:
+        self.is_leaving = True
+        log.info("node: shutdown started")
+        self._announce()
+        self._send_members(self.membership.apply_leaving(now_s=now_s))
+        self._send_all(self.shards.decide_handover(now_s=now_s), now_s)
+
+    def is_drained(self, now_s: float) -> bool:
+        """Return whether nothing is left that an exit would cut."""
+        if not self.is_leaving or self._held:
+            return False
+        return self.requests.is_idle and self.shards.handover_done(now_s=now_s)
+
+    def _emit(self, effect: Any) -> None:
+        self._effects.append(effect)
--- /dev/null
+++ b/mulberryswitch/daemon/_flow_service.py
@@ -0,0 +1,175 @@
+"""Packets of open flows at the owner of their flow shard."""
+
+from collections.abc import Callable
+from typing import Any
+
+from mulberryswitch.contracts import (
+    FlowClosed,
+    FlowData,
+    FlowOpened,
+    Forward,
+    PacketKind,
+    Reply,
+    ReplyKind,
+    ResultCode,
+    Service,
+    Target,
+    TargetClose,
+    TargetData,
+    TargetOpen,
+)
+from mulberryswitch.links import ToFabric
+from mulberryswitch.routing import FlowShard, FlowShards, Route, Router, shard_of
+
+from ._target_sessions import TargetSessions
+from ._view import View
+
+__all__ = ["FlowService"]
+
+
+class FlowService:
+    """Serve OPEN, DATA and CLOSE of the flow shards that this VM owns.
+
+    Parameters
+    ----------
+    view : View
+        Configuration in force and members.
+    shards : FlowShards
+        Flow tables.
+    router : Router
+        Routes of packets that this VM cannot serve yet.
+    sessions : TargetSessions
+        Links to targets.
+    emit : callable
+        Takes effects for the links.
+    follow : callable
+        ``follow(route, forward, now_s)`` carries out a route.
+    count : callable
+        ``count(name, amount)``.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: View,
+        shards: FlowShards,
+        router: Router,
+        sessions: TargetSessions,
+        emit: Callable[[Any], None],
+        follow: Callable[[Route, Forward, float], None],
+        count: Callable[[str, int], None],
+    ):
+        self.view = view
+        self.shards = shards
+        self.router = router
+        self.sessions = sessions
+        self.emit = emit
+        self.follow = follow
+        self.count = count
+
+    def apply_packet(self, forward: Forward, shard: int, now_s: float) -> None:
+        """Serve a packet of a flow of this shard."""
+        flows = self.shards.shard(forward.service, shard)
+        match forward.packet.kind:
+            case PacketKind.OPEN:
+                self._apply_open(flows, forward, now_s)
+            case PacketKind.DATA:
+                self._apply_data(flows, forward, now_s)
+            case PacketKind.CLOSE:
+                self._apply_close(flows, forward, now_s)
+            case _:
+                self._apply_request(flows, forward, now_s)
+
+    def _apply_open(self, flows: FlowShard, forward: Forward, now_s: float) -> None:
+        packet = forward.packet
+        picked = flows.apply_open(flow=packet.flow, now_s=now_s)
+        if picked is ResultCode.NOT_OWNER:
+            self._relay(forward, flows.shard, now_s)
+        elif isinstance(picked, ResultCode):
+            self._reply(ReplyKind.REFUSED, packet.flow, code=picked)
+        elif self._send(picked, forward, TargetOpen(flow=packet.flow, body=packet.body), now_s):
+            self.count("flows_opened", 1)
+        else:
+            flows.apply_close(flow=packet.flow, now_s=now_s)
+            self._reply(ReplyKind.REFUSED, packet.flow, code=ResultCode.NO_PATH)
+
+    def _apply_data(self, flows: FlowShard, forward: Forward, now_s: float) -> None:
+        packet = forward.packet
+        found = flows.lookup(flow=packet.flow, now_s=now_s)
+        if found is ResultCode.NOT_OWNER:
+            self._relay(forward, flows.shard, now_s)
+        elif found is None:
+            self._reply(ReplyKind.CLOSED, packet.flow, code=ResultCode.UNKNOWN_FLOW)
+        elif not self._send(found, forward, TargetData(flow=packet.flow, body=packet.body), now_s):
+            self.count("flow_data_dropped", 1)
+
+    def _apply_close(self, flows: FlowShard, forward: Forward, now_s: float) -> None:
+        flow = forward.packet.flow
+        found = flows.lookup(flow=flow, now_s=now_s)
+        if found is ResultCode.NOT_OWNER:
+            self._relay(forward, flows.shard, now_s)
+        elif found is not None:
+            self._send(found, forward, TargetClose(flow=flow), now_s)
+
+    def _apply_request(self, flows: FlowShard, forward: Forward, now_s: float) -> None:
+        route = self.router.decide_dispatch(
+            forward=forward,
+            pinned=flows.pick_pinned(flow=forward.packet.flow),
+            sheet=self.view.sheet,
+            members=self.view.members,
+            members_version=self.view.members_version,
+            now_s=now_s,
+        )
+        self.follow(route, forward, now_s)
+
+    def _relay(self, forward: Forward, shard: int, now_s: float) -> None:
+        self.count("flow_packets_relayed", 1)
+        self.follow(self.router.decide_relay(forward=forward, shard=shard), forward, now_s)
+
+    def _send(self, name: str, forward: Forward, frame: Any, now_s: float) -> bool:
+        target = self._find_target(name, forward.service)
+        if target is not None:
+            self.sessions.apply_attach(target, now_s)
+        return self.sessions.apply_send(name, frame)
+
+    def _find_target(self, name: str, service: str) -> Target | None:
+        known: Service | None = self.view.sheet.services.get(service)
+        targets = known.targets if known else ()
+        return next((target for target in targets if target.name == name), None)
+
+    def _reply(self, kind: ReplyKind, flow: bytes, *, code: int = 0, body: bytes = b"") -> None:
+        self.emit(ToFabric(message=Reply(kind=kind, flow=flow, code=code, body=body)))
+
+    def observe_frame(self, service: str, frame: Any, now_s: float) -> None:
+        """Pass a target's frame about a flow on to its caller."""
+        match frame:
+            case FlowOpened():
+                self._reply(ReplyKind.OPENED, frame.flow)
+            case FlowData():
+                self._reply(ReplyKind.DATA, frame.flow, body=frame.body)
+            case FlowClosed():
+                self._observe_closed(service, frame, now_s)
+
+    def _observe_closed(self, service: str, frame: FlowClosed, now_s: float) -> None:
+        flows = self.shards.shard(service, shard_of(frame.flow))
+        if flows is not None:
+            flows.apply_close(flow=frame.flow, now_s=now_s)
+        if frame.code:
+            self.count("flows_broken", 1)
+        self._reply(ReplyKind.CLOSED, frame.flow, code=frame.code)
+
+    def observe_target_gone(self, service: str, target: str) -> None:
+        """End the flows of a target that this VM can no longer reach."""
+        for flows in self.shards.served_shards(service):
+            for flow in flows.apply_target_lost(target=target):
+                self.count("flows_broken", 1)
+                self._reply(ReplyKind.CLOSED, flow, code=ResultCode.TARGET_LOST)
+
+    def list_pinned(self) -> dict[str, int]:
+        """Return the open flows of each target, for operators."""
+        totals: dict[str, int] = {}
+        for service in self.view.sheet.services if self.view.sheet else ():
+            for flows in self.shards.served_shards(service):
+                for target, amount in flows.counts().items():
+                    totals[target] = totals.get(target, 0) + amount
+        return totals
--- /dev/null
+++ b/mulberryswitch/daemon/_node.py
@@ -0,0 +1,239 @@
+"""The daemon of one VM: links as tasks, one task that owns all decisions."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+import time
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+
+from mulberryswitch.contracts import FABRIC_CODEC, MEMBERSHIP_CODEC, DecodeError, Settings
+from mulberryswitch.links import (
+    AttachTarget,
+    ClosePeer,
+    DatagramEndpoint,
+    DetachTarget,
+    FabricPackets,
+    MemberDatagram,
+    OperatorPort,
+    PeerLinks,
+    PlatformReader,
+    ReadConfig,
+    ReadVmList,
+    TargetLinks,
+    ToFabric,
+    ToMember,
+    ToPeer,
+    ToTarget,
+    sign_hello,
+)
+from mulberryswitch.observability import Metrics, build_hop_recorder
+
+from ._core import NodeCore, NodeIdentity, Shutdown, Tick
+from ._status import build_explanation, build_gauges, build_holds, build_status
+
+__all__ = ["Node", "run_node"]
+
+TICK_S = 0.02
+# Events that wait for the decisions; packets beyond it are dropped, as a full socket buffer would.
+MAX_WAITING_EVENTS = 20_000
+
+log = logging.getLogger("node")
+
+
+def build_clock() -> Callable[[], float]:
+    """Return a clock in seconds since the epoch that never goes back."""
+    offset_s = time.time() - time.monotonic()
+    return lambda: time.monotonic() + offset_s
+
+
+class Node:
+    """Tasks of one VM and the messages between them.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings: Settings):
+        self.settings = settings
+        self.clock = build_clock()
+        self.metrics = Metrics()
+        self._inbox: asyncio.Queue = asyncio.Queue()
+        self._cut_addresses: frozenset[str] = frozenset()
+
+    def _build(self) -> None:
+        cfg = self.settings
+        incarnation = int(self.clock() * 1000)
+        key = bytes.fromhex(cfg.node.key)
+        count = self.metrics.count
+        self.core = NodeCore(
+            identity=NodeIdentity(
+                vm=cfg.node.vm,
+                zone=cfg.node.zone,
+                address=cfg.peers.listen,
+                incarnation=incarnation,
+                seeds=cfg.peers.seed_endpoints,
+            ),
+            key=key,
+            rng=Random(),
+            max_queued=cfg.limits.queue,
+            max_pending=cfg.limits.pending,
+            count=count,
+            record_hop=build_hop_recorder(
+                exporter=cfg.tracing.exporter, vm=cfg.node.vm, zone=cfg.node.zone
+            ),
+        )
+        hello = {"fleet": cfg.node.fleet, "vm": cfg.node.vm, "zone": cfg.node.zone}
+        self.peers = PeerLinks(
+            listen=cfg.peers.listen,
+            fleet=cfg.node.fleet,
+            key=key,
+            build_hello=lambda: sign_hello(
+                key=key, incarnation=incarnation, now_s=self.clock(), **hello
+            ),
+            clock=self.clock,
+            report=self._report,
+            count=partial(self._count_link, "peer"),
+        )
+        self.fabric = DatagramEndpoint(
+            listen=cfg.fabric.listen,
+            codec=FABRIC_CODEC,
+            receive=self._receive_packets,
+            count=partial(self._count_link, "fabric"),
+        )
+        self.members = DatagramEndpoint(
+            listen=cfg.peers.listen,
+            codec=MEMBERSHIP_CODEC,
+            receive=self._receive_members,
+            count=partial(self._count_link, "members"),
+        )
+        self.targets = TargetLinks(vm=cfg.node.vm, report=self._report)
+        self.platform = PlatformReader(url=cfg.platform.url, report=self._report)
+        self.operator = OperatorPort(
+            listen=cfg.operator.listen,
+            read_status=lambda: build_status(self.core, self.clock()),
+            read_holds=lambda: build_holds(self.core),
+            explain=lambda flow, address: build_explanation(self.core, flow=flow, address=address),
+            render_metrics=lambda accept: self.metrics.render(
+                build_gauges(self.core, self.clock()), accept
+            ),
+            cut=self._cut if cfg.testing.allow_cuts else None,
+        )
+
+    async def run(self) -> None:
+        """Serve until ``SIGTERM`` or ``SIGINT``, then hand over and return."""
+        self._build()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._report, Shutdown())
+        await self._start_links()
+        ticker = asyncio.create_task(self._tick())
+        log.info("node: started")
+        try:
+            await self._decide()
+        finally:
+            ticker.cancel()
+            await self._stop_links()
+            log.info("node: stopped")
+
+    async def _start_links(self) -> None:
+        await self.peers.start()
+        await self.members.start()
+        await self.fabric.start()
+        await self.platform.start()
+        await self.operator.start()
+
+    async def _stop_links(self) -> None:
+        with contextlib.suppress(Exception):
+            await self.peers.stop()
+        self.targets.stop()
+        self.fabric.stop()
+        self.members.stop()
+        await self.platform.stop()
+        await self.operator.stop()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._report(Tick())
+
+    async def _decide(self) -> None:
+        """Own the decisions: take one event after the other until the VM is drained."""
+        stop_s = None
+        while True:
+            event = await self._inbox.get()
+            now_s = self.clock()
+            if isinstance(event, Shutdown) and stop_s is None:
+                stop_s = now_s + self.settings.limits.shutdown_s
+            self._handle(event, now_s)
+            if stop_s is not None and (now_s >= stop_s or self.core.is_drained(now_s)):
+                return
+
+    def _handle(self, event: Any, now_s: float) -> None:
+        try:
+            effects = self.core.handle(event, now_s)
+        except Exception:
+            # One event that fails must not stop the VM; the count is an alert for operators.
+            self.metrics.count("event_failures")
+            log.exception("node: event failed", extra={"event": type(event).__name__})
+            return
+        for effect in effects:
+            try:
+                self._carry_out(effect)
+            except DecodeError as exc:
+                self.metrics.count("effects_too_large")
+                log.error("node: message not sent", extra={"reason": str(exc)})
+
+    def _carry_out(self, effect: Any) -> None:
+        match effect:
+            case ToFabric():
+                self.fabric.send(self.settings.fabric.fabric, effect.message)
+            case ToPeer():
+                self.peers.send(effect.vm, effect.address, effect.message)
+            case ToTarget():
+                self.targets.send(effect.target, effect.frame)
+            case ToMember():
+                if effect.address not in self._cut_addresses:
+                    self.members.send(effect.address, effect.message)
+            case ClosePeer():
+                self.peers.close(effect.vm)
+            case AttachTarget():
+                self.targets.attach(effect.target)
+            case DetachTarget():
+                self.targets.detach(effect.target)
+            case ReadConfig():
+                self.platform.read_config(effect)
+            case ReadVmList():
+                self.platform.read_vm_list()
+
+    def _report(self, event: Any) -> None:
+        self._inbox.put_nowait(event)
+
+    def _receive_packets(self, batch: list[tuple[str, Any]]) -> None:
+        if self._inbox.qsize() >= MAX_WAITING_EVENTS:
+            self.metrics.count("packets_overflow", len(batch))
+            return
+        self._report(FabricPackets(packets=tuple(packet for _, packet in batch)))
+
+    def _receive_members(self, batch: list[tuple[str, Any]]) -> None:
+        for sender, message in batch:
+            if sender not in self._cut_addresses:
+                self._report(MemberDatagram(sender=sender, message=message))
+
+    def _count_link(self, link: str, name: str, amount: int) -> None:
+        self.metrics.count(f"{link}_{name}", amount)
+
+    def _cut(self, vms: frozenset[str]) -> None:
+        members = self.core.membership.members
+        self._cut_addresses = frozenset(members[vm].address for vm in vms if vm in members)
+        self.peers.cut(vms)
+
+
+def run_node(*, settings: Settings) -> None:
+    """Run the daemon in this process until it is told to stop."""
+    asyncio.run(Node(settings=settings).run())
--- /dev/null
+++ b/mulberryswitch/daemon/_request_service.py
@@ -0,0 +1,296 @@
+"""Requests at a VM: dispatchers that it runs, and requests that it forwarded."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from mulberryswitch.contracts import (
+    AnswerPiece,
+    Declined,
+    Done,
+    Forward,
+    LoadReport,
+    PacketKind,
+    ReplyKind,
+    ResultCode,
+    Shed,
+    TargetCancel,
+)
+from mulberryswitch.links import ToFabric, ToTarget
+from mulberryswitch.requests import (
+    Action,
+    CancelAtTarget,
+    Dispatcher,
+    Finish,
+    ForwardAgain,
+    PendingRequests,
+    ReceiptSigner,
+    ReplyToCaller,
+    SendToTarget,
+    build_refusal,
+)
+
+from ._target_sessions import TargetSessions
+from ._view import View
+
+__all__ = ["RequestService"]
+
+RequestKey = tuple[bytes, int, int]
+
+
+class RequestService:
+    """Carry out the actions of the dispatchers and of the table of pending requests.
+
+    A VM that relays a request towards its dispatcher enters itself as the entry VM and remembers
+    the previous one. So each VM on the way watches the link to the next one, and an outcome is
+    reported back along the same way.
+
+    Parameters
+    ----------
+    view : View
+        Configuration in force and members.
+    signer : ReceiptSigner
+        Signs receipts.
+    sessions : TargetSessions
+        Links to targets.
+    max_queued, max_pending : int
+        Bounds on the queue of a service and on forwarded requests.
+    first_dispatch_id : int
+        Higher than any dispatch id of an earlier process of this VM.
+    emit : callable
+        Takes effects for the links.
+    send_peer : callable
+        ``send_peer(vm, message, now_s)``.
+    forward_again : callable
+        ``forward_again(forward, now_s)`` routes a request in the current view.
+    count, observe_wait : callable
+        Metrics.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: View,
+        signer: ReceiptSigner,
+        sessions: TargetSessions,
+        max_queued: int,
+        max_pending: int,
+        first_dispatch_id: int,
+        emit: Callable[[Any], None],
+        send_peer: Callable[[str, Any, float], None],
+        forward_again: Callable[[Forward, float], None],
+        count: Callable[[str, int], None],
+    ):
+        self.view = view
+        self.signer = signer
+        self.sessions = sessions
+        self.max_queued = max_queued
+        self.first_dispatch_id = first_dispatch_id
+        self.emit = emit
+        self.send_peer = send_peer
+        self.forward_again = forward_again
+        self.count = count
+        self.dispatchers: dict[str, Dispatcher] = {}
+        self.pending = PendingRequests(vm=view.vm, signer=signer, max_pending=max_pending)
+        self._previous: dict[RequestKey, str] = {}
+
+    # Requests
+
+    def apply_request(self, forward: Forward, pinned: str, now_s: float) -> None:
+        """Hand a request or a cancellation to the service's dispatcher, which runs here."""
+        dispatcher = self._open_dispatcher(forward.service, now_s)
+        forward = replace(forward, pinned=pinned)
+        if forward.packet.kind == PacketKind.CANCEL:
+            actions = dispatcher.observe_cancel(forward, now_s)
+        else:
+            actions = dispatcher.observe_request(forward, now_s)
+        self._carry_out(actions, now_s)
+
+    def apply_forward(self, vm: str, forward: Forward, now_s: float) -> None:
+        """Forward a request to `vm` and keep it pending until its outcome is known."""
+        if forward.packet.kind == PacketKind.CANCEL:
+            self.send_peer(vm, forward, now_s)
+            return
+        if forward.entry_vm != self.view.vm:
+            self._previous[_key_of(forward)] = forward.entry_vm
+            forward = replace(forward, entry_vm=self.view.vm)
+        refusals = self.pending.observe_forwarded(forward, vm, now_s)
+        if refusals:
+            self._carry_out(refusals, now_s)
+        else:
+            self.send_peer(vm, forward, now_s)
+
+    def apply_refusal(self, forward: Forward, code: int, now_s: float) -> None:
+        """Refuse the only copy of a request; the entry VM may send it elsewhere first."""
+        packet = forward.packet
+        declined = Declined(
+            flow=packet.flow, request_id=packet.request_id, attempt=packet.attempt, code=code
+        )
+        if forward.entry_vm != self.view.vm:
+            self.send_peer(forward.entry_vm, declined, now_s)
+        elif self.pending.is_pending(declined):
+            self.observe_declined(declined, now_s)
+        else:
+            reply = build_refusal(signer=self.signer, packet=packet, code=code)
+            self.count(f"refused_{int(reply.code)}", 1)
+            self.emit(ToFabric(message=reply))
+
+    # Outcomes of forwarded requests
+
+    def observe_done(self, done: Done, now_s: float) -> None:
+        """The caller has been told the outcome of a forwarded request."""
+        self._carry_out(self.pending.observe_done(done, now_s), now_s)
+        self._report_back(done, now_s)
+
+    def observe_declined(self, declined: Declined, now_s: float) -> None:
+        """A copy was not run where it was forwarded to."""
+        self._carry_out(self.pending.observe_declined(declined, now_s), now_s)
+
+    def observe_unsent(self, message: Any, now_s: float) -> None:
+        """A message to a peer did not leave this VM."""
+        match message:
+            case Forward(packet=packet) if packet.kind == PacketKind.REQUEST:
+                declined = Declined(
+                    flow=packet.flow,
+                    request_id=packet.request_id,
+                    attempt=packet.attempt,
+                    code=ResultCode.NO_PATH,
+                )
+                self.observe_declined(declined, now_s)
+            case Declined():
+                # The entry VM is gone, so nobody else can tell the caller; it asks again itself.
+                self.count("declines_unsent", 1)
+
+    def observe_link_lost(self, vm: str, now_s: float) -> None:
+        """The link to `vm` broke."""
+        self._carry_out(self.pending.observe_link_lost(vm, now_s), now_s)
+
+    def _report_back(self, done: Done, now_s: float) -> None:
+        previous = self._previous.pop((done.flow, done.request_id, done.attempt), "")
+        if previous:
+            self.send_peer(previous, done, now_s)
+
+    # Targets
+
+    def observe_targets(self, now_s: float) -> None:
+        """Take over the targets of the configuration in force."""
+        for service in self.dispatchers:
+            self._apply_targets(service, now_s)
+
+    def observe_target_up(self, service: str, target: str, now_s: float) -> None:
+        """The link to a target is open."""
+        dispatcher = self.dispatchers.get(service)
+        if dispatcher is not None:
+            self._carry_out(dispatcher.observe_target_up(target, now_s), now_s)
+
+    def observe_target_lost(self, service: str, target: str, now_s: float) -> None:
+        """The link to a target broke."""
+        dispatcher = self.dispatchers.get(service)
+        if dispatcher is not None:
+            self._carry_out(dispatcher.observe_target_lost(target, now_s), now_s)
+
+    def observe_frame(self, service: str, target: str, frame: Any, now_s: float) -> None:
+        """Take in a target's frame about a dispatched request or its load."""
+        dispatcher = self.dispatchers.get(service)
+        if dispatcher is None:
+            return
+        match frame:
+            case AnswerPiece():
+                actions = dispatcher.observe_answer(frame, now_s)
+            case Shed():
+                actions = dispatcher.observe_shed(frame.dispatch_id, now_s)
+            case LoadReport():
+                actions = dispatcher.observe_report(target, frame, now_s)
+            case _:
+                return
+        self._carry_out(actions, now_s)
+
+    # Time and roles
+
+    def decide_tick(self, now_s: float) -> None:
+        """Advance all timers."""
+        for dispatcher in self.dispatchers.values():
+            self._carry_out(dispatcher.decide_tick(now_s), now_s)
+        self._carry_out(self.pending.decide_tick(now_s), now_s)
+
+    def apply_handover(self, services: list[str], now_s: float) -> list[Forward]:
+        """Return the requests of `services` that were never dispatched, and forget them."""
+        handed = []
+        for service in services:
+            dispatcher = self.dispatchers.get(service)
+            if dispatcher is not None:
+                handed += dispatcher.apply_handover(now_s)
+        return handed
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is queued, running or pending here."""
+        idle = all(dispatcher.is_idle for dispatcher in self.dispatchers.values())
+        return idle and self.pending.is_idle
+
+    def _open_dispatcher(self, service: str, now_s: float) -> Dispatcher:
+        dispatcher = self.dispatchers.get(service)
+        if dispatcher is None:
+            dispatcher = self.dispatchers[service] = Dispatcher(
+                vm=self.view.vm,
+                zone=self.view.zone,
+                service=service,
+                slots=self.view.sheet.services[service].slots,
+                signer=self.signer,
+                first_dispatch_id=self.first_dispatch_id,
+                max_queued=self.max_queued,
+            )
+            self._apply_targets(service, now_s)
+        return dispatcher
+
+    def _apply_targets(self, service: str, now_s: float) -> None:
+        known = self.view.sheet.services.get(service)
+        targets = known.targets if known else ()
+        dispatcher = self.dispatchers[service]
+        slots = known.slots if known else 0
+        self._carry_out(dispatcher.observe_targets(targets, slots, now_s), now_s)
+        for target in targets:
+            self.sessions.apply_attach(target, now_s)
+            if self.sessions.is_up(target.name):
+                self._carry_out(dispatcher.observe_target_up(target.name, now_s), now_s)
+
+    # Actions
+
+    def _carry_out(self, actions: list[Action], now_s: float) -> None:
+        for action in actions:
+            match action:
+                case SendToTarget():
+                    self.emit(ToTarget(target=action.target, frame=action.frame))
+                case CancelAtTarget():
+                    frame = TargetCancel(dispatch_id=action.dispatch_id)
+                    self.emit(ToTarget(target=action.target, frame=frame))
+                case ReplyToCaller():
+                    self._reply(action, now_s)
+                case Finish():
+                    self._finish(action, now_s)
+                case ForwardAgain():
+                    self.forward_again(replace(action.forward, hops=0), now_s)
+
+    def _reply(self, action: ReplyToCaller, now_s: float) -> None:
+        reply = action.reply
+        self.emit(ToFabric(message=reply))
+        if reply.kind == ReplyKind.ANSWER:
+            return
+        self.count(f"outcome_{int(reply.code)}", 1)
+        done = Done(
+            flow=reply.flow,
+            request_id=reply.request_id,
+            attempt=reply.attempt,
+            code=reply.code,
+        )
+        self._report_back(done, now_s)
+
+    def _finish(self, action: Finish, now_s: float) -> None:
+        if action.entry_vm == self.view.vm:
+            self.observe_done(action.done, now_s)
+        else:
+            self.send_peer(action.entry_vm, action.done, now_s)
+
+
+def _key_of(forward: Forward) -> RequestKey:
+    return forward.packet.flow, forward.packet.request_id, forward.packet.attempt
--- /dev/null
+++ b/mulberryswitch/daemon/_status.py
@@ -0,0 +1,128 @@
+"""What operators can read from a VM."""
+
+from typing import Any
+
+from mulberryswitch.routing import shard_of
+
+from ._core import NodeCore
+
+__all__ = ["build_explanation", "build_gauges", "build_holds", "build_status"]
+
+
+def build_status(core: NodeCore, now_s: float) -> dict[str, Any]:
+    """Return the state of a VM: configuration in force, refusals, members, targets."""
+    store, sheet = core.store, core.view.sheet
+    return {
+        "vm": core.view.vm,
+        "zone": core.view.zone,
+        "leaving": core.is_leaving,
+        "version": store.version,
+        "digest": store.digest.hex(),
+        "since_s": store.since_s,
+        "now_s": now_s,
+        "refused": [_describe_refusal(refused) for refused in store.refused],
+        "members": [
+            {
+                "vm": member.vm,
+                "zone": member.zone,
+                "address": member.address,
+                "state": member.state.name.lower(),
+            }
+            for member in core.membership.members.values()
+        ],
+        "targets": [
+            _describe_target(core, target)
+            for service in (sheet.services.values() if sheet else ())
+            for target in service.targets
+        ],
+        "queues": {
+            name: {"held": len(dispatcher.held()), "idle": dispatcher.is_idle}
+            for name, dispatcher in core.requests.dispatchers.items()
+        },
+        "pending": len(core.requests.pending),
+    }
+
+
+def _describe_refusal(refused: Any) -> dict[str, Any]:
+    return {
+        "version": refused.version,
+        "source": refused.source,
+        "last_s": refused.last_s,
+        "problem_count": refused.problem_count,
+        "problems": [
+            {"code": int(problem.code), "item": problem.item, "message": problem.message}
+            for problem in refused.problems
+        ],
+    }
+
+
+def _describe_target(core: NodeCore, target: Any) -> dict[str, Any]:
+    return {
+        "target": target.name,
+        "service": target.service,
+        "zone": target.zone,
+        "state": target.state.value,
+        "linked": core.sessions.is_up(target.name),
+        "flows": core.flows.list_pinned().get(target.name, 0),
+    }
+
+
+def build_explanation(core: NodeCore, *, flow: bytes, address: str) -> dict[str, Any]:
+    """Return which service, shard, owner and target a flow has, as this VM sees it."""
+    sheet = core.view.sheet
+    service = sheet.service_by_address.get(address) if sheet else None
+    if service is None:
+        return {"address": address, "service": None, "reason": "address is not in force"}
+    number = shard_of(flow)
+    shard = core.shards.shard(service, number)
+    served_here = core.shards.serves(service, number)
+    return {
+        "address": address,
+        "service": service,
+        "shard": number,
+        "owner": core.view.vm if served_here else core.shards.pick_server(service, number),
+        "served_here": served_here,
+        "pinned_target": shard.pick_pinned(flow=flow) if shard and served_here else "",
+        "known_targets": [target.name for target in sheet.services[service].targets],
+    }
+
+
+def build_holds(core: NodeCore) -> dict[str, Any]:
+    """Return what still holds this VM and each target open."""
+    return {
+        "vm": core.view.vm,
+        "leaving": core.is_leaving,
+        "pending": len(core.requests.pending),
+        "flows": core.flows.list_pinned(),
+        "requests": [
+            {
+                "service": name,
+                "flow": held.flow.hex(),
+                "request_id": held.request_id,
+                "state": str(held.state),
+                "target": held.target,
+            }
+            for name, dispatcher in core.requests.dispatchers.items()
+            for held in dispatcher.held()
+        ],
+    }
+
+
+def build_gauges(core: NodeCore, now_s: float) -> dict[str, float]:
+    """Return the states that a metrics scrape reads."""
+    shards = core.shards.counters()
+    flows = core.flows.list_pinned().values()
+    mean = sum(flows) / len(flows) if flows else 0.0
+    return {
+        "config_version": core.store.version,
+        "config_age_seconds": now_s - core.store.since_s if core.store.since_s else 0.0,
+        "config_refused": core.store.refused_count,
+        "members_live": len(core.view.members),
+        "flows_open": shards.flows_open,
+        "flow_exceptions": shards.exceptions,
+        "flow_replication_bytes": shards.replicated_bytes,
+        "flow_shards_owned": shards.shards_owned,
+        "flow_imbalance": max(flows) / mean if mean else 0.0,
+        "requests_pending": len(core.requests.pending),
+        "requests_held": sum(len(d.held()) for d in core.requests.dispatchers.values()),
+    }
--- /dev/null
+++ b/mulberryswitch/daemon/_view.py
@@ -0,0 +1,46 @@
+"""What the parts of one VM know in common: configuration in force and members."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from mulberryswitch.contracts import Sheet, TargetState
+from mulberryswitch.vms import Member
+
+__all__ = ["View", "build_effective_sheet"]
+
+
+@dataclass(kw_only=True, slots=True)
+class View:
+    """The local view that routing decisions are made with.
+
+    Attributes
+    ----------
+    sheet : Sheet or None
+        Configuration in force, with the targets that the platform's list names as leaving.
+    members : tuple of Member
+        Live members.
+    members_version : int
+        Rises with each change of the members.
+    """
+
+    vm: str
+    zone: str
+    sheet: Sheet | None = None
+    members: tuple[Member, ...] = ()
+    members_version: int = 0
+
+
+def build_effective_sheet(sheet: Sheet, leaving: Iterable[str]) -> Sheet:
+    """Return `sheet` with the targets named in `leaving` marked as leaving."""
+    names = frozenset(leaving)
+    services = {
+        name: replace(
+            service,
+            targets=tuple(
+                replace(target, state=TargetState.LEAVING) if target.name in names else target
+                for target in service.targets
+            ),
+        )
+        for name, service in sheet.services.items()
+    }
+    return replace(sheet, services=services)
--- a/mulberryswitch/links/__init__.py
+++ b/mulberryswitch/links/__init__.py
@@ -1,4 +1,4 @@
-"""Links to peers, the fabric, targets and the platform."""
+"""Links to peers, the fabric, targets, the platform and operators."""
 
 from ._datagrams import DatagramEndpoint
 from ._events import (
@@ -25,6 +25,7 @@
     VmEntry,
     VmListRead,
 )
+from ._operator import OperatorPort
 from ._peers import PeerLinks, sign_hello, verify_hello
 from ._platform import PlatformReader, check_vm_list
 from ._streams import parse_endpoint, read_messages, write_messages
@@ -39,6 +40,7 @@
     "DetachTarget",
     "FabricPackets",
     "MemberDatagram",
+    "OperatorPort",
     "PeerLinks",
     "PeerLost",
     "PeerMessages",
--- /dev/null
+++ b/mulberryswitch/links/_operator.py
@@ -0,0 +1,107 @@
+"""The operator's HTTP port: status, explanations, holds, metrics."""
+
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from aiohttp import web
+
+from ._streams import parse_endpoint
+
+__all__ = ["OperatorPort"]
+
+MAX_FLOW_HEX_CHARS = 32
+MAX_BODY_BYTES = 16 * 1024
+
+
+def _answer(data: Any, status: int = 200) -> web.Response:
+    return web.json_response(data, status=status)
+
+
+class OperatorPort:
+    """Owner of the HTTP server for operators; it changes nothing but test cuts.
+
+    Parameters
+    ----------
+    listen : str
+        ``ip:port``.
+    read_status, read_holds : callable
+        Return the answers as plain data.
+    explain : callable
+        ``explain(flow, address)`` returns plain data.
+    render_metrics : callable
+        ``render_metrics(accept)`` returns body and headers.
+    cut : callable or None
+        Takes the VMs to cut links with; None answers 403.
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        read_status: Callable[[], Any],
+        read_holds: Callable[[], Any],
+        explain: Callable[[bytes, str], Any],
+        render_metrics: Callable[[str], tuple[bytes, Mapping[str, str]]],
+        cut: Callable[[frozenset[str]], None] | None,
+    ):
+        self.listen = listen
+        self.read_status = read_status
+        self.read_holds = read_holds
+        self.explain = explain
+        self.render_metrics = render_metrics
+        self.cut = cut
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Open the port."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.add_routes(
+            [
+                web.get("/v1/status", self._get_status),
+                web.get("/v1/holds", self._get_holds),
+                web.get("/v1/explain", self._get_explanation),
+                web.get("/metrics", self._get_metrics),
+                web.post("/v1/test/cut", self._post_cut),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, port = parse_endpoint(self.listen)
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _get_status(self, req: web.Request) -> web.Response:
+        return _answer(self.read_status())
+
+    async def _get_holds(self, req: web.Request) -> web.Response:
+        return _answer(self.read_holds())
+
+    async def _get_explanation(self, req: web.Request) -> web.Response:
+        text, address = req.query.get("flow", ""), req.query.get("address", "")
+        try:
+            flow = bytes.fromhex(text)
+        except ValueError:
+            flow = b""
+        if not flow or len(text) > MAX_FLOW_HEX_CHARS or not address:
+            return _answer({"error": "expected flow=HEX (1 to 16 bytes) and address=IP:PORT"}, 400)
+        return _answer(self.explain(flow, address))
+
+    async def _get_metrics(self, req: web.Request) -> web.Response:
+        body, headers = self.render_metrics(req.headers.get("Accept", ""))
+        return web.Response(body=body, headers=headers)
+
+    async def _post_cut(self, req: web.Request) -> web.Response:
+        if self.cut is None:
+            return _answer({"error": "[testing] allow_cuts is off"}, 403)
+        try:
+            vms = json.loads(await req.text())["vms"]
+            names = frozenset(str(vm) for vm in vms)
+        except (ValueError, KeyError, TypeError):
+            return _answer({"error": 'expected {"vms": ["NAME", ...]}'}, 400)
+        self.cut(names)
+        return _answer({"cut": sorted(names)})
--- a/mulberryswitch/requests/__init__.py
+++ b/mulberryswitch/requests/__init__.py
@@ -14,6 +14,7 @@
 from ._pending import PendingRequests
 from ._receipts import ReceiptSigner
 from ._records import RecordState, RequestRecords
+from ._refusals import build_refusal
 
 __all__ = [
     "Action",
@@ -30,4 +31,5 @@
     "RetryBudget",
     "SendToTarget",
     "WorkClassifier",
+    "build_refusal",
 ]
--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -611,7 +611,7 @@
     def _has_receipt(self, forward: Forward) -> bool:
         packet = forward.packet
         return packet.attempt > 1 and self.signer.verify(
-            self.service, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
+            packet.address, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
         )
 
     def _conclude(self, record: Record, code: int, now_s: float, *, queued: bool = True) -> None:
@@ -654,7 +654,7 @@
 
     def _sign(self, forward: Forward) -> bytes:
         packet = forward.packet
-        return self.signer.sign(self.service, packet.flow, packet.request_id, packet.attempt)
+        return self.signer.sign(packet.address, packet.flow, packet.request_id, packet.attempt)
 
     def _finish(self, entry_vm: str, forward: Forward, code: int) -> None:
         packet = forward.packet
--- a/mulberryswitch/requests/_pending.py
+++ b/mulberryswitch/requests/_pending.py
@@ -21,8 +21,9 @@
 __all__ = ["PendingRequests"]
 
 MAX_PENDING = 65_536
-MAX_DECLINES = 5
-DECLINE_DELAY_S = 0.05
+# Together 3 s, longer than a dead dispatcher takes to be declared dead by every VM.
+MAX_DECLINES = 30
+DECLINE_DELAY_S = 0.1
 # Time after the deadline in which the dispatcher's own outcome may still arrive.
 DONE_GRACE_S = 1.0
 # Requests without a deadline leave the table after this time.
@@ -100,6 +101,10 @@
         heapq.heappush(self._timers, (expires_s, self._count, key))
         return []
 
+    def is_pending(self, message: Done | Declined) -> bool:
+        """Return whether the attempt that `message` names was forwarded from here."""
+        return (message.flow, message.request_id, message.attempt) in self._pending
+
     def observe_done(self, done: Done, now_s: float) -> list[Action]:
         """The dispatcher told the caller the outcome."""
         self._remove((done.flow, done.request_id, done.attempt))
@@ -174,7 +179,7 @@
         packet = forward.packet
         proven = packet.attempt == 1 or packet.idempotent
         proven = proven or self.signer.verify(
-            forward.service, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
+            packet.address, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
         )
         if may_have_run:
             code = ResultCode.OWNER_LOST
@@ -191,7 +196,7 @@
         receipt = b""
         if refused:
             receipt = self.signer.sign(
-                forward.service, packet.flow, packet.request_id, packet.attempt
+                packet.address, packet.flow, packet.request_id, packet.attempt
             )
         reply = Reply(
             kind=ReplyKind.REFUSED if refused else ReplyKind.UNKNOWN,
--- a/mulberryswitch/requests/_receipts.py
+++ b/mulberryswitch/requests/_receipts.py
@@ -21,15 +21,15 @@
     def __init__(self, key: bytes):
         self._key = key
 
-    def sign(self, service: str, flow: bytes, request_id: int, attempt: int) -> bytes:
+    def sign(self, address: str, flow: bytes, request_id: int, attempt: int) -> bytes:
         """Return the receipt for the refusal of `attempt`."""
-        name = service.encode()
+        name = address.encode()
         # Lengths before the variable fields keep ("ab", b"c") apart from ("a", b"bc").
         head = struct.pack(">HHQQ", len(name), len(flow), request_id, attempt)
         return hmac.digest(self._key, DOMAIN + head + name + flow, "sha256")[:RECEIPT_BYTES]
 
     def verify(
-        self, service: str, flow: bytes, request_id: int, attempt: int, receipt: bytes
+        self, address: str, flow: bytes, request_id: int, attempt: int, receipt: bytes
     ) -> bool:
         """Return whether `receipt` proves the refusal of `attempt`."""
-        return hmac.compare_digest(self.sign(service, flow, request_id, attempt), receipt)
+        return hmac.compare_digest(self.sign(address, flow, request_id, attempt), receipt)
--- a/mulberryswitch/routing/_replication.py
+++ b/mulberryswitch/routing/_replication.py
@@ -223,6 +223,14 @@
         entry = self._entries.get((service, shard))
         return entry.flows if entry else None
 
+    def served_shards(self, service: str) -> list[FlowShard]:
+        """Return the flow tables of `service` that this VM serves now."""
+        return [
+            entry.flows
+            for (name, _), entry in self._entries.items()
+            if name == service and entry.role in (Role.OWNER, Role.HANDING_OVER)
+        ]
+
     def pick_server(self, service: str, shard: int) -> str:
         """Return the VM that serves the shard as far as this VM knows; empty if none.
 
--- a/mulberryswitch/routing/_router.py
+++ b/mulberryswitch/routing/_router.py
@@ -171,6 +171,13 @@
         self._check_cache(sheet, members_version)
         return self._route_request(replace(forward, pinned=pinned or UNPINNED), sheet, members)
 
+    def pick_dispatcher(
+        self, *, service: str, sheet: Sheet, members: Sequence[Member], members_version: int
+    ) -> str:
+        """Return the VM that dispatches the requests of `service`, or an empty name."""
+        self._check_cache(sheet, members_version)
+        return self._dispatcher(service, sheet, members)
+
     def decide_relay(self, *, forward: Forward, shard: int) -> Route:
         """Return the route of a packet whose flow this VM must not resolve yet (``NOT_OWNER``)."""
         vm = self.shards.pick_server(forward.service, shard) if self.shards else ""
--- a/mulberryswitch/routing/_shard.py
+++ b/mulberryswitch/routing/_shard.py
@@ -141,11 +141,13 @@
         return target
 
     def pick_pinned(self, *, flow: bytes) -> str:
-        """Return the target that a request on this flow must run at; empty if it is not open."""
+        """Return the target that a request on this flow must run at; empty if it is not open.
+
+        A flow that this VM has not seen since it took the shard over counts as not open. Resolving
+        it with the base would pin every one-shot request after a takeover and end late binding.
+        """
         mark = self._flows.get(flow)
-        if mark is not None:
-            return mark[0]
-        return self._table[pick_slot(flow)] if self._table and not self.complete else ""
+        return mark[0] if mark is not None else ""
 
     def apply_close(self, *, flow: bytes, now_s: float) -> None:
         """Forget a flow."""
