Stand-ins for platform, targets, fabric and callers, and the demo

Nothing exercised the wire contracts from outside, so a run could not show lost, repeated or misrouted requests. Each stand-in is one asyncio process with INI settings; targets and callers write JSON lines, and the demo counts only from these.

A refusal of a non-idempotent request is taken at its word, so that a false one shows as refused_but_run; a refused retry of an idempotent request whose earlier attempt may have run is reported as unknown.

--- /dev/null
+++ b/standins/_counts.py
@@ -0,0 +1,93 @@
+"""Counts of a run from the records of targets and callers."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+__all__ = ["Counts", "count_records"]
+
+RequestKey = tuple[str, int]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Counts:
+    """What happened to the requests and long flows of one run."""
+
+    requests: int
+    answered: int
+    refused_not_run: int
+    unknown: int
+    lost: int
+    wrong_answer: int
+    run_twice: int
+    refused_but_run: int
+    wrong_service: int
+    broken_flows: int
+    long_flows: int
+    flows_never_open: int
+    targets_bad_frames: int
+
+    def find_failures(self, allowed: dict[str, int] | None = None) -> dict[str, int]:
+        """Return the counts above their bound; the bound is 0 unless `allowed` names another."""
+        bounds = dict.fromkeys(MUST_BE_ZERO, 0) | (allowed or {})
+        values = asdict(self)
+        return {name: values[name] for name, bound in bounds.items() if values[name] > bound}
+
+
+MUST_BE_ZERO = (
+    "lost",
+    "wrong_answer",
+    "run_twice",
+    "refused_but_run",
+    "wrong_service",
+    "broken_flows",
+    "flows_never_open",
+    "targets_bad_frames",
+)
+
+
+def _request_key(record: dict[str, Any]) -> RequestKey:
+    return record["flow"], record["request_id"]
+
+
+def _is_misrouted(record: dict[str, Any]) -> bool:
+    return record.get("body_service", record["service"]) != record["service"]
+
+
+def count_records(records: Iterable[dict[str, Any]]) -> Counts:
+    """Return the counts of `records`, the events of all targets and callers of one run.
+
+    A request that some target started and that no caller recorded counts as lost.
+    """
+    records = list(records)
+    by_event: dict[str, list[dict[str, Any]]] = {}
+    for record in records:
+        by_event.setdefault(record["event"], []).append(record)
+    requests = by_event.get("request", [])
+    started = by_event.get("started", [])
+    opened = by_event.get("flow_opened", [])
+    flows = by_event.get("long_flow", [])
+    outcomes = Counter(record["outcome"] for record in requests)
+    starts = Counter(_request_key(record) for record in started if not record["idempotent"])
+    run = {_request_key(record) for record in started}
+    recorded = {_request_key(record) for record in requests}
+    refused = {_request_key(r) for r in requests if r["outcome"] == "refused_not_run"}
+    phases = Counter(record["phase"] for record in flows)
+    misrouted = sum(map(_is_misrouted, started + opened))
+    refused_links = sum("flow" not in record for record in by_event.get("wrong_service", []))
+    return Counts(
+        requests=len(requests),
+        answered=outcomes["answered"],
+        refused_not_run=outcomes["refused_not_run"],
+        unknown=outcomes["unknown"],
+        lost=outcomes["lost"] + len(run - recorded),
+        wrong_answer=outcomes["wrong_answer"],
+        run_twice=sum(count > 1 for count in starts.values()),
+        refused_but_run=len(refused & run),
+        wrong_service=misrouted + refused_links,
+        broken_flows=phases["broken"],
+        long_flows=len(flows),
+        flows_never_open=phases["opening"],
+        targets_bad_frames=len(by_event.get("bad_frame", [])),
+    )
--- /dev/null
+++ b/standins/_records.py
@@ -0,0 +1,56 @@
+"""Record files: one JSON object per line, flushed at once."""
+
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+__all__ = ["RecordFile", "read_records"]
+
+
+class RecordFile:
+    """Append events to a file.
+
+    Parameters
+    ----------
+    path : Path
+        File to append to.
+    fixed : dict
+        Fields that every record repeats.
+    """
+
+    def __init__(self, *, path: Path, fixed: dict[str, Any]):
+        self._file = path.open("a", buffering=1)
+        self._fixed = fixed
+
+    def append(self, event: str, **values: Any) -> None:
+        """Write one event with the wall-clock time."""
+        record = {"event": event, "at_s": round(time.time(), 4), **self._fixed, **values}
+        self._file.write(json.dumps(record) + "\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+def _parse_line(line: str) -> dict[str, Any] | None:
+    try:
+        return json.loads(line)
+    except ValueError:
+        return None
+
+
+def read_records(paths: list[Path]) -> Iterator[dict[str, Any]]:
+    """Yield the records of all `paths`.
+
+    The last line of a killed process may be cut; any other broken line raises ``ValueError``.
+    """
+    for path in paths:
+        lines = path.read_text().splitlines() if path.exists() else []
+        parsed = [_parse_line(line) for line in lines]
+        if parsed and parsed[-1] is None:
+            parsed.pop()
+        if None in parsed:
+            raise ValueError(f"{path.name}: line {parsed.index(None) + 1} is no JSON object")
+        yield from parsed
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,139 @@
+"""Fabric stand-in: sprays callers' packets over the VMs and returns replies, with impairments."""
+
+import asyncio
+import random
+import socket
+import time
+from collections import OrderedDict
+from configparser import ConfigParser
+from dataclasses import dataclass
+
+from mulberryswitch.contracts import FABRIC_CODEC, Announce, DecodeError, Packet, Reply
+
+from ._datagrams import Address, open_datagram_socket, send_datagram, watch_datagrams
+from ._process import parse_endpoint, run_program
+
+__all__ = ["Fabric", "Impairment", "serve"]
+
+ANNOUNCE_TIMEOUT_S = 1.0
+MAX_FLOWS = 200_000  # return paths kept, the oldest is dropped first
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Impairment:
+    """Probabilities from 0 to 1 and times in seconds that apply to each datagram."""
+
+    loss: float = 0.0
+    duplicate: float = 0.0
+    reorder: float = 0.0
+    delay_s: float = 0.0
+    reorder_delay_s: float = 0.005
+
+
+class Fabric:
+    """Live VMs and return paths of flows.
+
+    Parameters
+    ----------
+    caller_sock, vm_sock : socket.socket
+        UDP sockets towards callers and towards VMs.
+    impairment : Impairment
+        Faults of the network.
+    rng : random.Random
+        Source of the VM picks and the faults.
+    """
+
+    def __init__(
+        self,
+        *,
+        caller_sock: socket.socket,
+        vm_sock: socket.socket,
+        impairment: Impairment,
+        rng: random.Random,
+    ):
+        self._caller_sock = caller_sock
+        self._vm_sock = vm_sock
+        self._impairment = impairment
+        self._rng = rng
+        self._vms: dict[str, tuple[Address, float]] = {}
+        self._callers: OrderedDict[bytes, Address] = OrderedDict()
+
+    def receive_from_caller(self, data: bytes, source: Address) -> None:
+        """Send a caller's packet to a random live VM."""
+        packet = _decode(data)
+        if not isinstance(packet, Packet):
+            return
+        self._callers[packet.flow] = source
+        self._callers.move_to_end(packet.flow)
+        if len(self._callers) > MAX_FLOWS:
+            self._callers.popitem(last=False)
+        live = self.live_vms(time.monotonic())
+        if live:
+            self._send(self._vm_sock, data, self._rng.choice(live))
+
+    def receive_from_vm(self, data: bytes, source: Address) -> None:
+        """Take in an announcement or send a reply to the caller of its flow."""
+        message = _decode(data)
+        if isinstance(message, Announce):
+            self.observe_announce(message, source, time.monotonic())
+        elif isinstance(message, Reply) and message.flow in self._callers:
+            self._send(self._caller_sock, data, self._callers[message.flow])
+
+    def observe_announce(self, message: Announce, source: Address, now_s: float) -> None:
+        """Add, refresh or remove the VM."""
+        if message.withdrawn:
+            self._vms.pop(message.vm, None)
+        else:
+            self._vms[message.vm] = (source, now_s)
+
+    def live_vms(self, now_s: float) -> list[Address]:
+        """Return the addresses of the VMs that announced themselves within the timeout."""
+        oldest_s = now_s - ANNOUNCE_TIMEOUT_S
+        return [address for address, seen_s in self._vms.values() if seen_s >= oldest_s]
+
+    def _send(self, sock: socket.socket, data: bytes, address: Address) -> None:
+        faults = self._impairment
+        if self._rng.random() < faults.loss:
+            return
+        copies = 2 if self._rng.random() < faults.duplicate else 1
+        for _ in range(copies):
+            late = self._rng.random() < faults.reorder
+            delay_s = faults.delay_s + (faults.reorder_delay_s if late else 0.0)
+            if delay_s:
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay_s, send_datagram, sock, data, address)
+            else:
+                send_datagram(sock, data, address)
+
+
+def _decode(data: bytes) -> Packet | Reply | Announce | None:
+    try:
+        return FABRIC_CODEC.decode(data)
+    except DecodeError:
+        return None
+
+
+async def serve(cfg: ConfigParser, stop: asyncio.Event) -> None:
+    """Pass datagrams until `stop` is set."""
+    section = cfg["fabric"]
+    caller_sock = open_datagram_socket(*parse_endpoint(section["callers"]))
+    vm_sock = open_datagram_socket(*parse_endpoint(section["vms"]))
+    impairment = Impairment(
+        loss=section.getfloat("loss", 0.0),
+        duplicate=section.getfloat("duplicate", 0.0),
+        reorder=section.getfloat("reorder", 0.0),
+        delay_s=section.getfloat("delay_s", 0.0),
+    )
+    fabric = Fabric(
+        caller_sock=caller_sock,
+        vm_sock=vm_sock,
+        impairment=impairment,
+        rng=random.Random(section.getint("seed", 1)),
+    )
+    watch_datagrams(caller_sock, fabric.receive_from_caller)
+    watch_datagrams(vm_sock, fabric.receive_from_vm)
+    await stop.wait()
+
+
+if __name__ == "__main__":
+    run_program(serve)
