--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -18,7 +18,6 @@
 
 import aiohttp
 
-from ._counts import Counts, count_records
 from ._records import read_records
 
 __all__ = [
@@ -151,7 +150,7 @@
         }
         for service in plan.services
     ]
-    return json.dumps({"zones": list(plan.zones), "services": services}).encode()
+    return json.dumps({"format": 1, "zones": list(plan.zones), "services": services}).encode()
 
 
 class Cluster:
@@ -399,6 +398,15 @@
                 process.kill()
                 process.wait()
 
-    def count(self) -> Counts:
-        """Return the counts of the records written so far."""
-        return count_records(read_records(sorted(self.directory.glob("*.jsonl"))))
+    def read_records(self) -> list[dict[str, Any]]:
+        """Return the records of all targets and callers written so far."""
+        return list(read_records(sorted(self.directory.glob("*.jsonl"))))
+
+    def find_dispatcher(self, service: str) -> str:
+        """Return the VM that sent the latest request of `service` to a target."""
+        started = (
+            record
+            for record in self.read_records()
+            if record["event"] == "started" and record["service"] == service
+        )
+        return max(started, key=lambda record: record["at_s"])["vm"]
--- a/standins/_counts.py
+++ b/standins/_counts.py
@@ -2,10 +2,10 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from typing import Any
 
-__all__ = ["Counts", "count_records"]
+__all__ = ["Counts", "count_late_work", "count_records"]
 
 RequestKey = tuple[str, int]
 
@@ -28,11 +28,16 @@
     flows_never_open: int
     targets_bad_frames: int
 
+    @property
+    def unanswered(self) -> int:
+        """Requests that ended as refused or unknown, which is truthful but no service."""
+        return self.refused_not_run + self.unknown
+
     def find_failures(self, allowed: dict[str, int] | None = None) -> dict[str, int]:
         """Return the counts above their bound; the bound is 0 unless `allowed` names another."""
         bounds = dict.fromkeys(MUST_BE_ZERO, 0) | (allowed or {})
-        values = asdict(self)
-        return {name: values[name] for name, bound in bounds.items() if values[name] > bound}
+        values = {name: getattr(self, name) for name in bounds}
+        return {name: value for name, value in values.items() if value > bounds[name]}
 
 
 MUST_BE_ZERO = (
@@ -91,3 +96,13 @@
         flows_never_open=phases["opening"],
         targets_bad_frames=len(by_event.get("bad_frame", [])),
     )
+
+
+def count_late_work(records: Iterable[dict[str, Any]], *, target: str, after_s: float) -> int:
+    """Return the requests and flows that `target` took on after wall-clock time `after_s`."""
+    return sum(
+        record["event"] in ("started", "flow_opened")
+        and record["target"] == target
+        and record["at_s"] > after_s
+        for record in records
+    )
--- a/standins/tests/test_counts.py
+++ b/standins/tests/test_counts.py
@@ -4,7 +4,7 @@
 import unittest
 from pathlib import Path
 
-from standins._counts import count_records
+from standins._counts import count_late_work, count_records
 from standins._records import read_records
 
 
@@ -62,6 +62,11 @@
     def test_wrong_answer(self):
         self.check([build_started(1), build_request(1, "wrong_answer")], wrong_answer=1)
 
+    def test_work_at_a_leaving_target_counts_after_its_time(self):
+        records = [build_started(n, target="feeds-1", at_s=float(n)) for n in (1, 2, 3)]
+        self.assertEqual(count_late_work(records, target="feeds-1", after_s=1.5), 2)
+        self.assertEqual(count_late_work(records, target="feeds-2", after_s=1.5), 0)
+
 
 BAD = (
     "lost",
