--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -404,9 +404,11 @@
 
     def find_dispatcher(self, service: str) -> str:
         """Return the VM that sent the latest request of `service` to a target."""
-        started = (
+        started = [
             record
             for record in self.read_records()
             if record["event"] == "started" and record["service"] == service
-        )
+        ]
+        if not started:
+            raise ClusterError(f"no request of {service} has reached a target")
         return max(started, key=lambda record: record["at_s"])["vm"]
--- a/standins/_run.py
+++ b/standins/_run.py
@@ -29,6 +29,7 @@
 MAX_SPREAD_S = 4.0
 LEAVING_GRACE_S = 3.0
 CALLERS_TIMEOUT_S = 30.0
+LATE_START_S = 1.0  # a request that was reported as refused would show as started in this time
 WATCH_PERIOD_S = 0.2
 
 
@@ -134,6 +135,7 @@
         callers = cluster.start_callers()
         findings = await act(cluster)
         await _wait_callers(cluster, callers)
+        await asyncio.sleep(LATE_START_S)
     finally:
         watching.cancel()
         with contextlib.suppress(asyncio.CancelledError):
