Do not call a request unknown when only a later stream broke

Cause: after the kill of a dispatcher, requests that were queued for a new connection to it were called 'unknown, may have run' when the loss of the old connection was handled after them, and when the new connection was refused. Ruled out: answers lost at the fabric (the code was OWNER_LOST). Now a loss carries its time and whether the stream was open, and only requests forwarded before it count as possibly run.

--- a/mulberryswitch/daemon/_core.py
+++ b/mulberryswitch/daemon/_core.py
@@ -220,7 +220,8 @@
                     self.requests.observe_unsent(message, now_s)
             case PeerLost():
                 self._send_members(self.membership.observe_link_lost(vm=event.vm, now_s=now_s))
-                self.requests.observe_link_lost(event.vm, now_s)
+                if event.was_open:
+                    self.requests.observe_link_lost(event.vm, event.lost_s, now_s)
             case TargetUp():
                 if self.sessions.observe_up(event.target):
                     service = self._service_by_target.get(event.target, "")
--- a/mulberryswitch/daemon/_request_service.py
+++ b/mulberryswitch/daemon/_request_service.py
@@ -161,9 +161,9 @@
                 # The entry VM is gone, so nobody else can tell the caller; it asks again itself.
                 self.count("declines_unsent", 1)
 
-    def observe_link_lost(self, vm: str, now_s: float) -> None:
-        """The link to `vm` broke."""
-        self._carry_out(self.pending.observe_link_lost(vm, now_s), now_s)
+    def observe_link_lost(self, vm: str, lost_s: float, now_s: float) -> None:
+        """The link to `vm` broke at `lost_s`."""
+        self._carry_out(self.pending.observe_link_lost(vm, lost_s, now_s), now_s)
 
     def _report_back(self, done: Done, now_s: float) -> None:
         previous = self._previous.pop((done.flow, done.request_id, done.attempt), "")
--- a/mulberryswitch/links/_events.py
+++ b/mulberryswitch/links/_events.py
@@ -65,9 +65,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PeerLost:
-    """The stream to a peer broke; messages already written may or may not have arrived."""
+    """The stream to a peer broke at `lost_s`, or could not be opened.
+
+    Messages written before `lost_s`, in seconds since the epoch, may or may not have arrived if the
+    stream `was_open`. Later messages went to a new stream.
+    """
 
     vm: str
+    lost_s: float
+    was_open: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mulberryswitch/links/_peers.py
+++ b/mulberryswitch/links/_peers.py
@@ -143,7 +143,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*parse_endpoint(address))
         except (OSError, TimeoutError, asyncio.CancelledError):
-            self._finish_link(vm, queue)
+            self._finish_link(vm, queue, was_open=False)
             return
         try:
             await self._pump(reader, writer, queue)
@@ -151,14 +151,14 @@
             pass
         finally:
             writer.close()
-            self._finish_link(vm, queue)
+            self._finish_link(vm, queue, was_open=True)
 
-    def _finish_link(self, vm: str, queue: asyncio.Queue) -> None:
+    def _finish_link(self, vm: str, queue: asyncio.Queue, *, was_open: bool) -> None:
         if self._queues.get(vm) is queue:
             del self._queues[vm], self._tasks[vm]
         unsent = tuple(queue.get_nowait() for _ in range(queue.qsize()))
         self.report(PeerUnsent(vm=vm, messages=unsent))
-        self.report(PeerLost(vm=vm))
+        self.report(PeerLost(vm=vm, lost_s=self.clock(), was_open=was_open))
 
     async def _pump(self, reader, writer, queue: asyncio.Queue) -> None:
         write_messages(writer, PEER_CODEC, [self.build_hello()])
--- a/mulberryswitch/requests/_pending.py
+++ b/mulberryswitch/requests/_pending.py
@@ -37,6 +37,7 @@
     forward: Forward
     owners: list[str]
     expires_s: float
+    forwarded_s: float
     declines: int = 0
     again_s: float = 0.0
     code: int = 0
@@ -90,13 +91,14 @@
         entry = self._pending.get(key)
         if entry is not None:
             entry.owners.append(owner_vm)
+            entry.forwarded_s = now_s
             return []
         if len(self._pending) >= self.max_pending:
             return self._refuse(forward, ResultCode.TOO_MANY_PENDING, may_have_run=False)
         self.budget.observe_request()
         deadline_ms = forward.packet.deadline_ms
         expires_s = deadline_ms / 1000.0 + DONE_GRACE_S if deadline_ms else now_s + MAX_AGE_S
-        self._pending[key] = _Pending(forward, [owner_vm], expires_s)
+        self._pending[key] = _Pending(forward, [owner_vm], expires_s, now_s)
         self._count += 1
         heapq.heappush(self._timers, (expires_s, self._count, key))
         return []
@@ -131,11 +133,12 @@
         self._waiting[key] = entry
         return []
 
-    def observe_link_lost(self, vm: str, now_s: float) -> list[Action]:
-        """The link to `vm` broke; what was forwarded there may have run."""
+    def observe_link_lost(self, vm: str, lost_s: float, now_s: float) -> list[Action]:
+        """The link to `vm` broke at `lost_s`; what was forwarded there before may have run."""
         actions: list[Action] = []
-        for key in [key for key, entry in self._pending.items() if vm in entry.owners]:
-            entry = self._pending[key]
+        for key, entry in list(self._pending.items()):
+            if vm not in entry.owners or entry.forwarded_s > lost_s:
+                continue
             entry.may_have_run = True
             entry.owners = [owner for owner in entry.owners if owner != vm]
             if not entry.owners:
