--- /dev/null
+++ b/mulberryswitch/vms/tests/builders.py
@@ -0,0 +1,158 @@
+"""An in-memory network of memberships."""
+
+import heapq
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+from mulberryswitch.contracts import MEMBERSHIP_CODEC
+from mulberryswitch.vms import Membership, Send
+
+TICK_S = 0.125
+LATENCY_S = 0.0015  # one way between zones
+START_S = 1_000_000.0
+BUFFERED_DATAGRAMS = 200
+
+
+@dataclass(frozen=True, kw_only=True)
+class Entry:
+    """One VM in the platform's list."""
+
+    vm: str
+    zone: str
+    address: str
+    leaving: bool = False
+
+
+def make_entry(index: int, *, leaving: bool = False) -> Entry:
+    return Entry(
+        vm=f"vm-{index}", zone=f"zone-{index % 3}", address=f"10.0.0.{index}:7", leaving=leaving
+    )
+
+
+def make_membership(index: int = 0, *, incarnation: int = 1) -> Membership:
+    entry = make_entry(index)
+    return Membership(vm=entry.vm, zone=entry.zone, address=entry.address, incarnation=incarnation)
+
+
+class Fleet:
+    """Memberships that exchange encoded datagrams.
+
+    Every VM ticks at its own phase and a datagram takes `LATENCY_S`. `cuts` holds (sender,
+    receiver) pairs; a paused VM has a buffer of datagrams like that of a socket.
+    """
+
+    def __init__(self, *, count: int, seed: int = 1):
+        self.rng = Random(seed)
+        self.now_s = START_S
+        self.loss = 0.0
+        self.repeats = 0.0
+        self.sent_bytes = 0
+        self.sent_datagrams = 0
+        self.cuts: set[tuple[str, str]] = set()
+        self.running: dict[str, Membership] = {}
+        self.buffers: dict[str, deque[tuple[str, bytes]]] = {}
+        self.entries: dict[str, Entry] = {}
+        self._vm_by_address: dict[str, str] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._event_count = 0
+        for index in range(count):
+            self.start(make_entry(index))
+        self.publish(self.entries.values())
+
+    def start(self, entry: Entry, *, seeds: Iterable[str] = ()) -> Membership:
+        node = Membership(
+            vm=entry.vm,
+            zone=entry.zone,
+            address=entry.address,
+            incarnation=int(self.now_s),
+        )
+        node.observe_seeds(addresses=seeds, now_s=self.now_s)
+        self.entries[entry.vm] = entry
+        self.running[entry.vm] = node
+        self._vm_by_address[entry.address] = entry.vm
+        self._schedule(self.rng.random() * TICK_S, lambda: self._tick(node))
+        return node
+
+    def kill(self, vm: str) -> None:
+        del self.running[vm]
+        del self._vm_by_address[self.entries[vm].address]
+        self.buffers.pop(vm, None)
+
+    def pause(self, vm: str) -> None:
+        self.buffers[vm] = deque(maxlen=BUFFERED_DATAGRAMS)
+
+    def resume(self, vm: str) -> None:
+        for sender, data in self.buffers.pop(vm):
+            self._deliver(sender, self.entries[vm].address, data)
+
+    def publish(self, entries: Iterable[Entry]) -> None:
+        """Show `entries` to every running VM as the platform's list."""
+        entries = list(entries)
+        for node in self.running.values():
+            node.observe_list(entries=entries, now_s=self.now_s)
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        self.loss = self.repeats = 0.0
+        for vm in list(self.buffers):
+            self.resume(vm)
+
+    def send(self, sender: str, sends: Iterable[Send]) -> None:
+        for send in sends:
+            data = MEMBERSHIP_CODEC.encode(send.message)
+            self.sent_bytes += len(data)
+            self.sent_datagrams += 1
+            arrive = partial(self._deliver, sender, send.address, data)
+            for _ in range(1 + (self.rng.random() < self.repeats)):
+                if self.rng.random() >= self.loss:
+                    self._schedule(LATENCY_S, arrive)
+
+    def run(self, duration_s: float) -> None:
+        end_s = self.now_s + duration_s
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self._events)
+            action()
+        self.now_s = end_s
+
+    def run_until(self, predicate: Callable[[], bool], limit_s: float) -> float:
+        """Run until `predicate` holds and return the seconds that took, at most `limit_s`."""
+        start_s = self.now_s
+        while not predicate() and self.now_s - start_s < limit_s:
+            self.run(TICK_S)
+        return self.now_s - start_s
+
+    def live_names(self, vm: str) -> set[str]:
+        return {member.vm for member in self.running[vm].live()}
+
+    def is_converged(self) -> bool:
+        return all(self.live_names(vm) == self.running.keys() for vm in self.running)
+
+    def _schedule(self, delay_s: float, action: Callable[[], None]) -> None:
+        self._event_count += 1
+        heapq.heappush(self._events, (self.now_s + delay_s, self._event_count, action))
+
+    def _tick(self, node: Membership) -> None:
+        if self.running.get(node.vm) is not node:
+            return
+        if node.vm not in self.buffers:
+            self.send(node.vm, node.decide_tick(now_s=self.now_s, rng=self.rng))
+            node.live()  # a daemon reads the view all the time
+        self._schedule(TICK_S, lambda: self._tick(node))
+
+    def _deliver(self, sender: str, address: str, data: bytes) -> None:
+        receiver = self._vm_by_address.get(address)
+        if receiver is None or (sender, receiver) in self.cuts:
+            return
+        if receiver in self.buffers:
+            self.buffers[receiver].append((sender, data))
+            return
+        answers = self.running[receiver].observe_message(
+            message=MEMBERSHIP_CODEC.decode(data),
+            sender_address=self.entries[sender].address,
+            now_s=self.now_s,
+            rng=self.rng,
+        )
+        self.send(receiver, answers)
--- /dev/null
+++ b/mulberryswitch/vms/tests/test_membership.py
@@ -0,0 +1,292 @@
+"""Tests of the membership state machine."""
+
+import unittest
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+from mulberryswitch.contracts import (
+    MEMBERSHIP_CODEC,
+    Ack,
+    MemberState,
+    MemberUpdate,
+    Ping,
+    PingRequest,
+)
+from mulberryswitch.vms import Membership, Send
+from mulberryswitch.vms.tests.builders import START_S, TICK_S, Fleet, make_entry, make_membership
+
+DETECTION_S = 6.0  # 5 members: a round of 4 probes, 0.75 s to suspect, 1.5 s, and a spread of 1 s
+
+
+def make_update(index: int, *, state=MemberState.ALIVE, incarnation=1, **changes) -> MemberUpdate:
+    entry = make_entry(index)
+    update = MemberUpdate(
+        vm=entry.vm,
+        zone=entry.zone,
+        address=entry.address,
+        incarnation=incarnation,
+        state=int(state),
+    )
+    return replace(update, **changes)
+
+
+def tell(node: Membership, *updates: MemberUpdate, sender: int = 1, now_s=START_S) -> list[Send]:
+    """Let member `sender` ping `node` with its own claim and `updates`."""
+    claims = () if any(update.vm == f"vm-{sender}" for update in updates) else (sender,)
+    message = Ping(
+        sequence=1,
+        sender=f"vm-{sender}",
+        about=node.vm,
+        updates=(*map(make_update, claims), *updates),
+    )
+    return node.observe_message(
+        message=message,
+        sender_address=make_entry(sender).address,
+        now_s=now_s,
+        rng=Random(1),
+    )
+
+
+def state_of(node: Membership, index: int) -> MemberState | None:
+    member = node.members.get(f"vm-{index}")
+    return member.state if member else None
+
+
+class FleetTest(unittest.TestCase):
+    """Guards against views that differ, die wrongly or stay outdated."""
+
+    def setUp(self):
+        self.fleet = Fleet(count=5)
+        self.fleet.run(5.0)
+
+    def assert_converged(self):
+        views = {vm: sorted(self.fleet.live_names(vm)) for vm in self.fleet.running}
+        self.assertTrue(self.fleet.is_converged(), views)
+
+    def test_killed_vm_leaves_every_view(self):
+        self.fleet.kill("vm-2")
+        self.fleet.run(DETECTION_S)
+        self.assert_converged()
+
+    def test_stale_list_does_not_revive_a_dead_vm(self):
+        self.fleet.kill("vm-2")
+        self.fleet.run(DETECTION_S)
+        for _ in range(50):
+            self.fleet.publish(self.fleet.entries.values())
+            self.fleet.run(2.0)
+            self.assert_converged()
+        self.assertNotIn("vm-2", self.fleet.running["vm-0"].members, "forgotten after 60 s")
+
+    def test_rejoin_with_another_address(self):
+        self.fleet.kill("vm-2")
+        self.fleet.run(1.0)
+        moved = replace(make_entry(2), address="10.0.9.9:7")
+        self.fleet.start(moved, seeds=[make_entry(0).address])
+        self.fleet.run(DETECTION_S)
+        self.assert_converged()
+        addresses = {node.members["vm-2"].address for node in self.fleet.running.values()}
+        self.assertEqual(addresses, {moved.address})
+
+    def test_pause_kills_nobody_in_the_paused_view(self):
+        """On resuming, all answers seem to be 30 s late."""
+        self.fleet.pause("vm-2")
+        self.fleet.run(30.0)
+        others = self.fleet.running.keys() - {"vm-2"}
+        self.assertEqual(self.fleet.live_names("vm-0"), others)
+        self.fleet.resume("vm-2")
+        for _ in range(20):
+            self.fleet.run(0.5)
+            self.assertEqual(len(self.fleet.live_names("vm-2")), 5)
+        self.assert_converged()
+
+    def test_cut_of_one_direction_kills_nobody(self):
+        for cut in (("vm-0", "vm-2"), ("vm-2", "vm-0")):
+            with self.subTest(cut):
+                self.fleet.cuts = {cut}
+                for _ in range(60):
+                    self.fleet.run(0.5)
+                    self.assert_converged()
+
+    def test_sides_of_a_long_partition_find_each_other(self):
+        """Neither side may lose its own members to the death reports of the other."""
+        sides = ({"vm-0", "vm-1"}, {"vm-2", "vm-3", "vm-4"})
+        self.fleet.cuts = {(a, b) for a in sides[0] for b in sides[1]}
+        self.fleet.cuts |= {(b, a) for a, b in self.fleet.cuts}
+        self.fleet.run(300.0)
+        self.assertEqual(self.fleet.live_names("vm-0"), sides[0])
+        self.fleet.heal()
+        for _ in range(40):
+            self.fleet.run(0.25)
+            for side in sides:
+                for vm in side:
+                    self.assertLessEqual(side, self.fleet.live_names(vm))
+        self.assert_converged()
+
+    def test_vm_with_one_seed_learns_the_fleet(self):
+        self.fleet.start(make_entry(7), seeds=[make_entry(0).address])
+        self.fleet.run(20.0)
+        self.assert_converged()
+
+    def test_planned_shutdown_is_known_at_once(self):
+        """A leaving VM must not stay an owner until a timeout."""
+        leaving = self.fleet.running["vm-2"]
+        self.fleet.send("vm-2", leaving.apply_leaving(now_s=self.fleet.now_s))
+        self.fleet.run(0.01)
+        for node in self.fleet.running.values():
+            self.assertNotIn("vm-2", {member.vm for member in node.live()})
+            self.assertIn("vm-2", {member.vm for member in node.routable()})
+        self.fleet.run(30.0)
+        self.assertEqual(state_of(self.fleet.running["vm-0"], 2), MemberState.LEAVING)
+        self.fleet.kill("vm-2")
+        self.fleet.run(DETECTION_S)
+        self.assertEqual(state_of(self.fleet.running["vm-0"], 2), MemberState.DEAD)
+
+    def test_lost_link_speeds_up_detection(self):
+        self.fleet.kill("vm-2")
+        node = self.fleet.running["vm-0"]
+        self.fleet.send("vm-0", node.observe_link_lost(vm="vm-2", now_s=self.fleet.now_s))
+        self.assertEqual(state_of(node, 2), MemberState.SUSPECT)
+        self.fleet.run(node.suspicion_s + TICK_S)
+        self.assertEqual(state_of(node, 2), MemberState.DEAD)
+
+    def test_lost_link_of_a_healthy_vm_is_refuted(self):
+        """A stream can break while both ends are alive."""
+        node = self.fleet.running["vm-0"]
+        self.fleet.send("vm-0", node.observe_link_lost(vm="vm-2", now_s=self.fleet.now_s))
+        self.assertEqual(state_of(node, 2), MemberState.SUSPECT)
+        self.fleet.run(0.01)
+        self.assertEqual(state_of(node, 2), MemberState.ALIVE)
+        self.fleet.run(5.0)
+        self.assert_converged()
+
+
+class MembershipTest(unittest.TestCase):
+    """Guards the rules by which one view changes."""
+
+    def setUp(self):
+        self.node = make_membership(0, incarnation=5)
+
+    def test_self_is_live_until_it_leaves(self):
+        self.assertEqual([member.vm for member in self.node.live()], ["vm-0"])
+        self.node.apply_leaving(now_s=START_S)
+        self.assertEqual(self.node.live(), ())
+
+    def test_version_rises_with_each_change_of_live(self):
+        """Callers cache live() by version."""
+        changes = (
+            make_update(2),
+            make_update(2, state=MemberState.SUSPECT),
+            make_update(2, incarnation=2),
+            make_update(2, incarnation=2, state=MemberState.LEAVING),
+            make_update(0, state=MemberState.SUSPECT, incarnation=5),
+        )
+        tell(self.node)
+        for update in changes:
+            before, live = self.node.version, self.node.live()
+            tell(self.node, update)
+            self.assertNotEqual(self.node.live(), live)
+            self.assertGreater(self.node.version, before)
+            repeated = self.node.version
+            tell(self.node, update)
+            self.assertEqual(self.node.version, repeated)
+
+    def test_suspicion_of_self_is_refuted(self):
+        for state in (MemberState.SUSPECT, MemberState.DEAD):
+            before = self.node.members["vm-0"].incarnation
+            (ack,) = tell(self.node, make_update(0, state=state, incarnation=before))
+            self.assertEqual(ack.message.updates[0].incarnation, before + 1)
+
+    def test_reported_death_leaves_time_to_refute(self):
+        tell(self.node, make_update(2))
+        tell(self.node, make_update(2, state=MemberState.DEAD))
+        self.assertEqual(state_of(self.node, 2), MemberState.SUSPECT)
+        tell(self.node, make_update(2, incarnation=2))
+        self.assertEqual(state_of(self.node, 2), MemberState.ALIVE)
+
+    def test_dead_sender_is_told_and_its_hearsay_is_ignored(self):
+        """A resumed VM spreads the view it had before its pause."""
+        tell(self.node, make_update(2, state=MemberState.DEAD))
+        old = (make_update(2), make_update(3, state=MemberState.SUSPECT))
+        (ack,) = tell(self.node, *old, sender=2)
+        self.assertIn(make_update(2, state=MemberState.DEAD), ack.message.updates)
+        self.assertIsNone(state_of(self.node, 3))
+        tell(self.node, make_update(2, incarnation=2), sender=2)
+        self.assertEqual(state_of(self.node, 2), MemberState.ALIVE)
+
+    def test_listed_vm_with_a_former_address_is_corrected(self):
+        self.node.observe_list(
+            entries=[replace(make_entry(1), address="10.0.9.9:7")], now_s=START_S
+        )
+        tell(self.node, make_update(1, incarnation=0))
+        self.assertEqual(self.node.members["vm-1"].address, make_entry(1).address)
+
+    def test_later_list_only_names_addresses_to_ping(self):
+        self.node.observe_list(entries=[make_entry(1)], now_s=START_S)
+        self.node.observe_list(entries=[make_entry(1), make_entry(2)], now_s=START_S)
+        self.assertIsNone(state_of(self.node, 2))
+        sends = self.node.decide_tick(now_s=START_S, rng=Random(1))
+        self.assertIn(make_entry(2).address, [send.address for send in sends])
+
+    def test_ping_for_another_vm_is_not_answered(self):
+        """A reused address must not keep its former VM alive."""
+        ping = Ping(sequence=1, sender="vm-1", about="vm-9", updates=())
+        answers = self.node.observe_message(
+            message=ping, sender_address="10.0.0.1:7", now_s=START_S, rng=Random(1)
+        )
+        self.assertEqual(answers, [])
+
+    def test_indirect_ping_returns_the_acknowledgement(self):
+        tell(self.node, make_update(2))
+        arguments = {"now_s": START_S, "rng": Random(1)}
+        request = PingRequest(sequence=70, sender="vm-1", about="vm-2", updates=())
+        (ping,) = self.node.observe_message(
+            message=request, sender_address="10.0.0.1:7", **arguments
+        )
+        ack = Ack(sequence=ping.message.sequence, sender="vm-2", about="vm-2", updates=())
+        (relayed,) = self.node.observe_message(
+            message=ack, sender_address="10.0.0.2:7", **arguments
+        )
+        self.assertEqual((relayed.address, relayed.message.sequence), ("10.0.0.1:7", 70))
+        self.assertEqual(relayed.message.about, "vm-2")
+
+    def test_opened_link_makes_a_dead_vm_refute(self):
+        tell(self.node, make_update(2, state=MemberState.DEAD))
+        entry = make_entry(2)
+        self.node.observe_link_up(
+            vm=entry.vm, zone=entry.zone, address=entry.address, incarnation=1, now_s=START_S
+        )
+        sends = self.node.decide_tick(now_s=START_S, rng=Random(1))
+        notices = [s.message.updates for s in sends if s.address == entry.address]
+        self.assertIn(make_update(2, state=MemberState.DEAD), notices[0])
+
+    def test_older_process_of_a_name_gives_way(self):
+        """Two processes of one name would otherwise outbid each other for ever."""
+        tell(self.node, make_update(0, incarnation=9, address="10.0.9.9:7"))
+        self.assertTrue(self.node.is_superseded)
+        self.assertNotIn("vm-0", {member.vm for member in self.node.live()})
+        self.assertEqual(self.node.decide_tick(now_s=START_S, rng=Random(1)), [])
+
+    def test_updates_out_of_range_are_ignored(self):
+        changes = (
+            {"vm": ""},
+            {"vm": "x" * 65},
+            {"address": "x" * 65},
+            {"state": 4},
+            {"incarnation": 2**63 - 1},
+        )
+        for change in changes:
+            with self.subTest(change):
+                tell(self.node, replace(make_update(2), **change))
+                self.assertEqual(set(self.node.members), {"vm-0", "vm-1"})
+
+    def test_datagrams_are_small_and_updates_repeat_a_bounded_number_of_times(self):
+        """Many simultaneous updates must neither exceed a datagram nor be sent for ever."""
+        tell(self.node)
+        longest = [make_update(i, zone="é" * 64, address="é" * 64) for i in range(2, 200)]
+        sends = [send for update in longest for send in tell(self.node, update)]
+        sends += [send for _ in range(6000) for send in tell(self.node)]
+        sizes_bytes = [len(MEMBERSHIP_CODEC.encode(send.message)) for send in sends]
+        self.assertLessEqual(max(sizes_bytes), 1400)
+        carried = Counter(update.vm for send in sends for update in send.message.updates)
+        self.assertEqual({carried[update.vm] for update in longest}, {3 * 8})
