--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -247,9 +247,13 @@
                 self._conclude(record, ResultCode.TARGET_LOST, now_s)
                 continue
             self._queue.apply_removed(record)
-            record.state = RecordState.REFUSED
-            self.records.apply_removed(record)
             handed.extend(waiter.forward for waiter in record.waiters)
+            # The attempts before the first one that waits were proved not run. Their fence stays,
+            # and the first one may come back.
+            record.state, record.code = RecordState.REFUSED, ResultCode.SHUTTING_DOWN
+            record.attempt = record.waiters[0].attempt - 1
+            record.waiters = []
+            self.records.apply_finished(record, now_s)
         return handed
 
     @property
@@ -296,7 +300,7 @@
             self._attach(record, waiter, now_s)
         elif record.code == ResultCode.CANCELLED and attempt <= record.attempt:
             self._observe_cancelled(record, waiter, now_s)
-        elif attempt < record.attempt:
+        elif attempt <= record.attempt:
             self._tell(record, waiter, ResultCode.NO_PROOF)
         else:
             self._observe_retry(record, waiter, now_s)
--- a/mulberryswitch/requests/_records.py
+++ b/mulberryswitch/requests/_records.py
@@ -137,11 +137,6 @@
         record = self._records[key] = Record(key, forward, attempt=packet.attempt)
         return record
 
-    def apply_removed(self, record: Record) -> None:
-        """Forget `record`, whose request was handed to another dispatcher."""
-        self._drop_answer(record)
-        del self._records[record.key]
-
     def apply_reopened(self, record: Record) -> None:
         """Take `record` out of the retention while its request is open again."""
         record.expires_s = 0.0
