--- a/mulberryswitch/vms/_membership.py
+++ b/mulberryswitch/vms/_membership.py
@@ -29,6 +29,11 @@
 MAX_CONTACTS_PER_PERIOD = 4
 MAX_LEAVING_PINGS = 64
 MAX_RECENT_CHANGES = 32
+# A VM that joined or returned within this time is told what changed in the last 60 s.
+NEWCOMER_S = 3.0
+FIRST_PINGS = 8
+# Several suspects at once mean that a zone failed or was cut off: probing speeds up.
+MAX_EXTRA_PROBES = 3
 SEED_PREFIX = "@"
 
 
@@ -132,7 +137,7 @@
     @property
     def members(self) -> Mapping[str, Member]:
         """Every known member by VM name, this VM included; the dead for 60 s."""
-        return self._view.snapshot().members
+        return self._view.members()
 
     def live(self) -> tuple[Member, ...]:
         """Return the members that may own keys, by name: alive or suspect, not leaving.
@@ -194,11 +199,12 @@
             return []
         updates = [update for update in message.updates if is_valid_update(update)]
         claim = next((update for update in updates if update.vm == message.sender), None)
-        has_joined = claim is not None and self._apply_claim(claim, now_s)
+        if claim is not None:
+            self._apply_claim(claim, now_s)
         self._view.apply_heard(message.sender, now_s=now_s)
         checks = self._apply_updates(message.sender, updates, now_s, rng)
         if isinstance(message, Ping):
-            answers = self._answer_ping(message, claim, has_joined, sender_address, now_s)
+            answers = self._answer_ping(message, claim, sender_address, now_s)
         elif isinstance(message, PingRequest):
             answers = self._answer_ping_request(message, sender_address, now_s)
         else:
@@ -206,19 +212,17 @@
         self._probes += [_Probe(vm=vm, sent_s=now_s) for vm in checks]
         return answers + [self._ping(vm, now_s) for vm in checks]
 
-    def _apply_claim(self, claim: MemberUpdate, now_s: float) -> bool:
-        """Apply what a VM says about itself; return whether it joined or returned."""
+    def _apply_claim(self, claim: MemberUpdate, now_s: float) -> None:
+        """Apply what a VM says about itself."""
         if claim.state == MemberState.DEAD:
-            return False
-        record = self._view.find(claim.vm)
+            return
+        record = self._view.records.get(claim.vm)
         is_listed_only = record is not None and record.is_listed_only
-        is_new = record is None or claim.incarnation > record.member.incarnation
         # The platform's list may name a former address.
         has_moved = is_listed_only and claim.address != record.member.address
         if self._view.is_news(claim) or has_moved:
             self._view.apply_member(build_member(claim), now_s=now_s)
             self._contacts.pop(claim.vm, None)
-        return is_new and not is_listed_only
 
     def _apply_updates(
         self, sender: str, updates: Iterable[MemberUpdate], now_s: float, rng: Random
@@ -268,7 +272,6 @@
         self,
         ping: Ping,
         claim: MemberUpdate | None,
-        has_joined: bool,
         sender_address: str,
         now_s: float,
     ) -> list[Send]:
@@ -276,7 +279,8 @@
         if ping.about not in ("", self.vm) or self.is_superseded:
             return []
         first = self._build_notice(ping.sender, claim)
-        if has_joined or ping.sender not in self._view.records:
+        record = self._view.records.get(ping.sender)
+        if record is None or now_s - record.changed_s <= NEWCOMER_S:
             first += self._build_recent_changes(now_s)
         ack = Ack(
             sequence=ping.sequence,
@@ -349,7 +353,7 @@
         """
         if self.is_superseded:
             return []
-        sends = self._resume_if_paused(now_s, rng)
+        sends = self._start_or_resume(now_s, rng)
         self._last_tick_s = now_s
         self._view.apply_time(now_s=now_s)
         sends += self._follow_probes(now_s, rng)
@@ -365,19 +369,19 @@
         self._view.apply_own(replace(self._view.own, state=MemberState.LEAVING))
         return [self._ping(vm, now_s) for vm in list(self._view.records)[:MAX_LEAVING_PINGS]]
 
-    def _resume_if_paused(self, now_s: float, rng: Random) -> list[Send]:
-        """After a pause, restart every timer and ask some members for news.
+    def _start_or_resume(self, now_s: float, rng: Random) -> list[Send]:
+        """After a start or a pause, ask some members for news and restart every timer.
 
-        The answers to earlier pings may still wait in the socket's buffer, so nobody may be
-        suspected or declared dead for the time of the pause.
+        The answers to pings from before a pause may still wait in the socket's buffer, so nobody
+        may be suspected or declared dead for the time of the pause.
         """
-        gap_s = 0.0 if self._last_tick_s is None else now_s - self._last_tick_s
-        if gap_s <= PAUSE_PERIODS * self.period_s:
+        last_s = self._last_tick_s
+        if last_s is not None and now_s - last_s <= PAUSE_PERIODS * self.period_s:
             return []
         self._probes.clear()
         self._view.apply_resume(now_s=now_s)
         names = sorted(self._view.records)
-        peers = rng.sample(names, min(INDIRECT_PINGS, len(names)))
+        peers = rng.sample(names, min(FIRST_PINGS, len(names)))
         return [self._ping(vm, now_s) for vm in peers]
 
     def _follow_probes(self, now_s: float, rng: Random) -> list[Send]:
@@ -400,7 +404,8 @@
         return sends
 
     def _start_period(self, now_s: float, rng: Random) -> list[Send]:
-        sends = self._probe_next(now_s, rng)
+        extra_probes = min(MAX_EXTRA_PROBES, max(0, len(self._view.suspects) - 1))
+        sends = [s for _ in range(1 + extra_probes) for s in self._probe_next(now_s, rng)]
         sends += self._check_suspects(now_s, rng)
         for name, address in list(self._contacts.items())[:MAX_CONTACTS_PER_PERIOD]:
             del self._contacts[name]
--- a/mulberryswitch/vms/_view.py
+++ b/mulberryswitch/vms/_view.py
@@ -1,5 +1,6 @@
 """One VM's view of the fleet: the members, the dead and the rules by which they change."""
 
+import bisect
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from types import MappingProxyType
@@ -37,10 +38,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Snapshot:
-    """The view of one version, by VM name."""
+    """The members of one version of the view that are not dead, in order of their names."""
 
     version: int
-    members: Mapping[str, Member]
     routable: tuple[Member, ...]
     live: tuple[Member, ...]
 
@@ -98,24 +98,30 @@
         self.added: list[str] = []
         self.queue = UpdateQueue()
         self.version = 1
+        self._names = [own.vm]
         self._snapshot: Snapshot | None = None
+        self._members: tuple[int, Mapping[str, Member]] | None = None
 
     def snapshot(self) -> Snapshot:
         """Return the view as immutable values; calls at the same version return the same one."""
         if self._snapshot is None or self._snapshot.version != self.version:
-            self._snapshot = self._build_snapshot()
+            records = self.records
+            # The names are kept in order, because sorting a large view at each change is costly.
+            routable = tuple(
+                [records[vm].member if vm in records else self.own for vm in self._names]
+            )
+            leaving = MemberState.LEAVING
+            live = tuple([member for member in routable if member.state is not leaving])
+            self._snapshot = Snapshot(version=self.version, routable=routable, live=live)
         return self._snapshot
 
-    def _build_snapshot(self) -> Snapshot:
-        members = [self.own, *(record.member for record in self.records.values())]
-        members.sort(key=lambda member: member.vm)
-        dead = [record.member for record in self.dead.values() if not record.is_forgotten]
-        return Snapshot(
-            version=self.version,
-            members=MappingProxyType({member.vm: member for member in [*members, *dead]}),
-            routable=tuple(members),
-            live=tuple(member for member in members if member.state != MemberState.LEAVING),
-        )
+    def members(self) -> Mapping[str, Member]:
+        """Return every member that is not forgotten, the dead included, by VM name."""
+        if self._members is None or self._members[0] != self.version:
+            dead = [record.member for record in self.dead.values() if not record.is_forgotten]
+            members = {member.vm: member for member in (*self.snapshot().routable, *dead)}
+            self._members = (self.version, MappingProxyType(members))
+        return self._members[1]
 
     def find(self, vm: str) -> Record | None:
         """Return the record of `vm`, dead or not."""
@@ -143,6 +149,10 @@
 
     def apply_member(self, member: Member, *, now_s: float) -> None:
         """Add or replace a member that is not dead."""
+        if member.state == MemberState.SUSPECT and member.vm in self.dead:
+            # If the VM is alive it refutes with a still higher incarnation.
+            self._put_dead(replace(member, state=MemberState.DEAD), now_s)
+            return
         former = self.records.get(member.vm)
         heard_s = former.heard_s if former is not None else 0.0
         # At a common start every VM hears the incarnation of every other that it has from the
@@ -166,6 +176,7 @@
         self.suspects.pop(vm, None)
         if vm not in self.records:
             self.added.append(vm)
+            bisect.insort(self._names, vm)
         self.records[vm] = record
         self.version += 1
 
@@ -194,11 +205,21 @@
     def apply_death(self, vm: str, *, now_s: float) -> None:
         """Declare a member dead."""
         record = self.records.pop(vm)
+        del self._names[bisect.bisect_left(self._names, vm)]
         self.suspects.pop(vm, None)
         member = replace(record.member, state=MemberState.DEAD)
         self.dead[vm] = Record(member=member, changed_s=now_s)
         self._publish(member)
 
+    def _put_dead(self, member: Member, now_s: float) -> None:
+        """Remember that a VM that is no member is dead at this incarnation or a lower one."""
+        known = self.dead.get(member.vm)
+        if known is None:
+            self.dead[member.vm] = Record(member=member, changed_s=now_s)
+        elif member.incarnation > known.member.incarnation:
+            known.member = member
+        self.version += 1
+
     def apply_death_report(self, update: MemberUpdate, *, now_s: float) -> bool:
         """Apply a death that another VM reports; return whether it has to be checked.
 
@@ -207,16 +228,15 @@
         """
         record = self.records.get(update.vm)
         if record is None:
-            if update.vm not in self.dead:
-                self.dead[update.vm] = Record(member=build_member(update), changed_s=now_s)
-                self.version += 1
+            self._put_dead(build_member(update), now_s)
             return False
         if update.incarnation < record.member.incarnation:
             return False
-        if record.member.state == MemberState.LEAVING:
+        record.member = replace(build_member(update), state=record.member.state)
+        # A leaving member owns nothing, and a listed VM that nobody heard may be long gone.
+        if record.member.state == MemberState.LEAVING or record.is_listed_only:
             self.apply_death(update.vm, now_s=now_s)
             return False
-        record.member = replace(build_member(update), state=record.member.state)
         if record.suspect_since_s is None:
             self.apply_suspicion(update.vm, now_s=now_s)
             return True
--- a/mulberryswitch/vms/tests/test_membership.py
+++ b/mulberryswitch/vms/tests/test_membership.py
@@ -221,6 +221,28 @@
         tell(self.node, make_update(1, incarnation=0))
         self.assertEqual(self.node.members["vm-1"].address, make_entry(1).address)
 
+    def test_listed_vm_that_is_reported_dead_is_dropped_at_once(self):
+        """A starting VM with a stale list would otherwise choose dead owners."""
+        self.node.observe_list(entries=[make_entry(1), make_entry(2)], now_s=START_S)
+        tell(self.node, make_update(2, state=MemberState.DEAD))
+        self.assertEqual(state_of(self.node, 2), MemberState.DEAD)
+
+    def test_suspicion_does_not_revive_a_dead_vm(self):
+        """Views that learn of a death at different incarnations would swap the dead for ever."""
+        tell(self.node, make_update(2, state=MemberState.DEAD))
+        tell(self.node, make_update(2, state=MemberState.SUSPECT, incarnation=3))
+        self.assertEqual(state_of(self.node, 2), MemberState.DEAD)
+        tell(self.node, make_update(2, incarnation=3))
+        self.assertEqual(state_of(self.node, 2), MemberState.DEAD)
+        tell(self.node, make_update(2, incarnation=4))
+        self.assertEqual(state_of(self.node, 2), MemberState.ALIVE)
+
+    def test_newcomer_is_told_recent_changes(self):
+        tell(self.node)
+        tell(self.node, make_update(2, state=MemberState.DEAD))
+        (ack,) = tell(self.node, sender=3, now_s=START_S + 50.0)
+        self.assertIn(make_update(2, state=MemberState.DEAD), ack.message.updates)
+
     def test_later_list_only_names_addresses_to_ping(self):
         self.node.observe_list(entries=[make_entry(1)], now_s=START_S)
         self.node.observe_list(entries=[make_entry(1), make_entry(2)], now_s=START_S)
@@ -283,9 +305,10 @@
     def test_datagrams_are_small_and_updates_repeat_a_bounded_number_of_times(self):
         """Many simultaneous updates must neither exceed a datagram nor be sent for ever."""
         tell(self.node)
+        later_s = START_S + 100.0  # a newcomer is sent recent changes on top
         longest = [make_update(i, zone="é" * 64, address="é" * 64) for i in range(2, 200)]
-        sends = [send for update in longest for send in tell(self.node, update)]
-        sends += [send for _ in range(6000) for send in tell(self.node)]
+        sends = [send for update in longest for send in tell(self.node, update, now_s=later_s)]
+        sends += [send for _ in range(6000) for send in tell(self.node, now_s=later_s)]
         sizes_bytes = [len(MEMBERSHIP_CODEC.encode(send.message)) for send in sends]
         self.assertLessEqual(max(sizes_bytes), 1400)
         carried = Counter(update.vm for send in sends for update in send.message.updates)
