--- a/mulberryswitch/daemon/_core.py
+++ b/mulberryswitch/daemon/_core.py
@@ -43,6 +43,7 @@
     ReadVmList,
     TargetFrames,
     TargetLost,
+    TargetRefused,
     TargetUp,
     ToFabric,
     ToMember,
@@ -186,6 +187,7 @@
         self._seen_members = -1
         self._routable: frozenset[str] = frozenset()
         self._due_s: dict[str, float] = {}
+        self._unreachable: frozenset[str] = frozenset()
 
     # Events
 
@@ -224,6 +226,8 @@
                 if self.sessions.observe_up(event.target):
                     service = self._service_by_target.get(event.target, "")
                     self.requests.observe_target_up(service, event.target, now_s)
+            case TargetRefused():
+                self.sessions.observe_refused(event.target)
             case TargetLost():
                 if self.sessions.observe_lost(event.target, now_s):
                     service = self._service_by_target.get(event.target, "")
@@ -434,7 +438,7 @@
     def _observe_frames(self, event: TargetFrames, now_s: float) -> None:
         service = self._service_by_target.get(event.target, "")
         for frame in event.frames:
-            self.flows.observe_frame(service, frame, now_s)
+            self.flows.observe_frame(service, event.target, frame, now_s)
             self.requests.observe_frame(service, event.target, frame, now_s)
 
     # Platform
@@ -486,6 +490,17 @@
             self._release_held(now_s)
         if self._may_start_work(now_s):
             self.requests.decide_tick(now_s)
+        self._check_targets(now_s)
+
+    def _check_targets(self, now_s: float) -> None:
+        """Keep new flows away from unreachable targets and end the flows of dead ones."""
+        unreachable = self.sessions.list_unreachable(now_s)
+        if unreachable != self._unreachable:
+            for target in unreachable - self._unreachable:
+                service = self._service_by_target.get(target, "")
+                self.flows.observe_unreachable(service, target, now_s)
+            self._unreachable = unreachable
+            self._pass_sheet_to_shards(now_s)
         for target in self.sessions.decide_lost(now_s):
             self.flows.observe_target_gone(self._service_by_target.get(target, ""), target)
 
@@ -554,13 +569,18 @@
             for service in sheet.services.values()
             for target in service.targets
         }
-        self._send_all(self.shards.observe_sheet(sheet=sheet, now_s=now_s), now_s)
+        self._pass_sheet_to_shards(now_s)
         self.requests.observe_targets(now_s)
         log.info(
             "configuration: version in force",
             extra={"version": sheet.version, "leaving": sorted(leaving)},
         )
 
+    def _pass_sheet_to_shards(self, now_s: float) -> None:
+        if self.view.sheet is not None:
+            sheet = build_effective_sheet(self.view.sheet, self._unreachable)
+            self._send_all(self.shards.observe_sheet(sheet=sheet, now_s=now_s), now_s)
+
     def _yield_queues(self, now_s: float) -> None:
         """Pass on the queues of services that another VM dispatches now."""
         lost = [name for name in self.requests.dispatchers if not self._dispatches(name)]
--- a/mulberryswitch/daemon/_flow_service.py
+++ b/mulberryswitch/daemon/_flow_service.py
@@ -26,10 +26,17 @@
 
 __all__ = ["FlowService"]
 
+MAX_SEARCHES = 4096
+
 
 class FlowService:
     """Serve OPEN, DATA and CLOSE of the flow shards that this VM owns.
 
+    A VM that became owner without a copy of the shard's state assumes that an unknown flow is at
+    its base pick. When that target does not know the flow, the next packets try the other targets
+    one after the other, because the flow may be open at any of them; a target that does not know a
+    flow only says so. The flow is closed towards its caller when every target was tried.
+
     Parameters
     ----------
     view : View
@@ -66,6 +73,7 @@
         self.emit = emit
         self.follow = follow
         self.count = count
+        self._searches: dict[bytes, set[str]] = {}
 
     def apply_packet(self, forward: Forward, shard: int, now_s: float) -> None:
         """Serve a packet of a flow of this shard."""
@@ -95,6 +103,9 @@
 
     def _apply_data(self, flows: FlowShard, forward: Forward, now_s: float) -> None:
         packet = forward.packet
+        if packet.flow in self._searches and not flows.is_confirmed(flow=packet.flow):
+            self._search(forward, now_s)
+            return
         found = flows.lookup(flow=packet.flow, now_s=now_s)
         if found is ResultCode.NOT_OWNER:
             self._relay(forward, flows.shard, now_s)
@@ -103,6 +114,25 @@
         elif not self._send(found, forward, TargetData(flow=packet.flow, body=packet.body), now_s):
             self.count("flow_data_dropped", 1)
 
+    def _search(self, forward: Forward, now_s: float) -> None:
+        """Send the packet to a target that was not asked for the flow yet."""
+        packet = forward.packet
+        asked = self._searches[packet.flow]
+        known = self.view.sheet.services.get(forward.service)
+        names = [target.name for target in known.targets] if known else []
+        left = [name for name in names if name not in asked]
+        reachable = next((name for name in left if self.sessions.is_up(name)), None)
+        if reachable is not None:
+            frame = TargetData(flow=packet.flow, body=packet.body)
+            self._send(reachable, forward, frame, now_s)
+        elif left:
+            # Another VM may reach the remaining targets, so the flow is not declared broken.
+            self.count("flow_data_dropped", 1)
+        else:
+            del self._searches[packet.flow]
+            self.count("flows_broken", 1)
+            self._reply(ReplyKind.CLOSED, packet.flow, code=ResultCode.UNKNOWN_FLOW)
+
     def _apply_close(self, flows: FlowShard, forward: Forward, now_s: float) -> None:
         flow = forward.packet.flow
         found = flows.lookup(flow=flow, now_s=now_s)
@@ -140,20 +170,36 @@
     def _reply(self, kind: ReplyKind, flow: bytes, *, code: int = 0, body: bytes = b"") -> None:
         self.emit(ToFabric(message=Reply(kind=kind, flow=flow, code=code, body=body)))
 
-    def observe_frame(self, service: str, frame: Any, now_s: float) -> None:
+    def observe_frame(self, service: str, target: str, frame: Any, now_s: float) -> None:
         """Pass a target's frame about a flow on to its caller."""
         match frame:
             case FlowOpened():
                 self._reply(ReplyKind.OPENED, frame.flow)
             case FlowData():
+                if frame.flow in self._searches:
+                    self._finish_search(service, target, frame.flow, now_s)
                 self._reply(ReplyKind.DATA, frame.flow, body=frame.body)
             case FlowClosed():
-                self._observe_closed(service, frame, now_s)
+                self._observe_closed(service, target, frame, now_s)
 
-    def _observe_closed(self, service: str, frame: FlowClosed, now_s: float) -> None:
+    def _finish_search(self, service: str, target: str, flow: bytes, now_s: float) -> None:
+        del self._searches[flow]
+        flows = self.shards.shard(service, shard_of(flow))
+        if flows is not None and not flows.waiting:
+            self.count("flows_found", 1)
+            flows.apply_found(flow=flow, target=target, now_s=now_s)
+
+    def _observe_closed(self, service: str, target: str, frame: FlowClosed, now_s: float) -> None:
         flows = self.shards.shard(service, shard_of(frame.flow))
-        if flows is not None:
-            flows.apply_close(flow=frame.flow, now_s=now_s)
+        if flows is None:
+            return
+        assumed = not flows.is_confirmed(flow=frame.flow)
+        flows.apply_close(flow=frame.flow, now_s=now_s)
+        if frame.code == ResultCode.UNKNOWN_FLOW and assumed:
+            self._searches.setdefault(frame.flow, set()).add(target)
+            if len(self._searches) > MAX_SEARCHES:
+                del self._searches[next(iter(self._searches))]
+            return
         if frame.code:
             self.count("flows_broken", 1)
         self._reply(ReplyKind.CLOSED, frame.flow, code=frame.code)
@@ -165,6 +211,13 @@
                 self.count("flows_broken", 1)
                 self._reply(ReplyKind.CLOSED, flow, code=ResultCode.TARGET_LOST)
 
+    def observe_unreachable(self, service: str, target: str, now_s: float) -> None:
+        """Unpin flows whose open still waits for the link; the caller's next open moves them."""
+        for frame in self.sessions.take_waiting(target):
+            flows = self.shards.shard(service, shard_of(frame.flow))
+            if isinstance(frame, TargetOpen) and flows is not None:
+                flows.apply_close(flow=frame.flow, now_s=now_s)
+
     def list_pinned(self) -> dict[str, int]:
         """Return the open flows of each target, for operators."""
         totals: dict[str, int] = {}
--- a/mulberryswitch/daemon/_target_sessions.py
+++ b/mulberryswitch/daemon/_target_sessions.py
@@ -10,14 +10,17 @@
 __all__ = ["TargetSessions"]
 
 MAX_WAITING_FRAMES = 256
-# A target that cannot be reached for this long has lost its flows as far as this VM can tell.
+# A restarted target process listens again within this time.
 LOST_AFTER_S = 3.0
+# New flows avoid a target whose link has been down for this long.
+UNREACHABLE_AFTER_S = 0.5
 
 
 @dataclass(kw_only=True, slots=True)
 class _Session:
     target: Target
     is_up: bool = False
+    is_refused: bool = False
     down_since_s: float = 0.0
     lost_told: bool = False
     waiting: list[Any] = field(default_factory=list)
@@ -57,7 +60,7 @@
         session = self._sessions.get(name)
         if session is None:
             return False
-        session.is_up, session.lost_told = True, False
+        session.is_up, session.is_refused, session.lost_told = True, False, False
         waiting, session.waiting = session.waiting, []
         for frame in waiting:
             self.emit(ToTarget(target=name, frame=frame))
@@ -71,6 +74,26 @@
         session.is_up, session.down_since_s = False, now_s
         return True
 
+    def observe_refused(self, name: str) -> None:
+        """Record that no process listens on the target's port."""
+        session = self._sessions.get(name)
+        if session is not None:
+            session.is_refused = True
+
+    def list_unreachable(self, now_s: float) -> frozenset[str]:
+        """Return the targets that new flows should avoid."""
+        return frozenset(
+            name
+            for name, session in self._sessions.items()
+            if not session.is_up and now_s - session.down_since_s >= UNREACHABLE_AFTER_S
+        )
+
+    def take_waiting(self, name: str) -> list[Any]:
+        """Return and forget the frames that wait for the link to a target."""
+        session = self._sessions[name]
+        waiting, session.waiting = session.waiting, []
+        return waiting
+
     def is_up(self, name: str) -> bool:
         """Return whether the link to the target is open."""
         session = self._sessions.get(name)
@@ -94,11 +117,15 @@
         return True
 
     def decide_lost(self, now_s: float) -> list[str]:
-        """Return targets that became unreachable for good, each once per outage."""
+        """Return targets whose process is gone, each once per outage.
+
+        A target that does not answer at all may be reachable from other VMs, so its flows stay.
+        """
         lost = [
             session
             for session in self._sessions.values()
             if not session.is_up
+            and session.is_refused
             and not session.lost_told
             and now_s - session.down_since_s >= LOST_AFTER_S
         ]
--- a/mulberryswitch/links/_events.py
+++ b/mulberryswitch/links/_events.py
@@ -21,6 +21,7 @@
     "ReadVmList",
     "TargetFrames",
     "TargetLost",
+    "TargetRefused",
     "TargetUp",
     "ToFabric",
     "ToMember",
@@ -108,6 +109,13 @@
     target: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetRefused:
+    """A target's VM answered that no process listens on the target's port."""
+
+    target: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigRead:
     """The platform answered a configuration read; `document` is None when nothing is newer."""
--- a/mulberryswitch/routing/_shard.py
+++ b/mulberryswitch/routing/_shard.py
@@ -283,6 +283,17 @@
             self._add_pin(pin.flow, pin.target, now_s)
         self._raise_inherited(counts)
 
+    def is_confirmed(self, *, flow: bytes) -> bool:
+        """Return whether the flow's target is known and not only assumed from the base."""
+        mark = self._flows.get(flow)
+        return mark is not None and not mark[2]
+
+    def apply_found(self, *, flow: bytes, target: str, now_s: float) -> None:
+        """Pin a flow to the target that was found to hold it."""
+        if flow in self._flows:
+            self._remove(flow)
+        self._add_pin(flow, target, now_s)
+
     def apply_reset(self) -> None:
         """Forget all flows after another VM has taken the shard over."""
         self.waiting, self.complete = True, False
