--- a/mulberryswitch/vms/_view.py
+++ b/mulberryswitch/vms/_view.py
@@ -216,9 +216,10 @@
         known = self.dead.get(member.vm)
         if known is None:
             self.dead[member.vm] = Record(member=member, changed_s=now_s)
+            self.version += 1
         elif member.incarnation > known.member.incarnation:
             known.member = member
-        self.version += 1
+            self.version += 1
 
     def apply_death_report(self, update: MemberUpdate, *, now_s: float) -> bool:
         """Apply a death that another VM reports; return whether it has to be checked.
