Split the dispatcher into outcomes, proof and binding

Replies, the proof that an attempt may run, and the choice of the next request are now modules of their own; the pending table shares the first two. No behaviour changes by this.

Links that return together no longer put every target into slow start: with six targets, 14 of 18 slots are usable at once.

--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -6,13 +6,9 @@
 from dataclasses import dataclass
 
 from mulberryswitch.contracts import (
-    MAX_PIECE_BYTES,
     AnswerPiece,
-    Done,
     Forward,
     LoadReport,
-    Reply,
-    ReplyKind,
     ResultCode,
     Target,
     TargetRequest,
@@ -20,16 +16,16 @@
 )
 from mulberryswitch.zones import SpillPolicy
 
-from ._actions import Action, CancelAtTarget, Finish, ReplyToCaller, SendToTarget
+from ._actions import Action, CancelAtTarget, SendToTarget
+from ._binding import Binder
 from ._budget import RetryBudget
 from ._classes import WorkClassifier
 from ._long_share import LongShare
+from ._outcomes import Outcomes
+from ._proof import check_deadline_proof, has_receipt, is_first_or_has_receipt
 from ._queue import RequestQueue
 from ._receipts import ReceiptSigner
 from ._records import (
-    KEEP_S,
-    MAX_DEADLINE_AHEAD_S,
-    MAX_TOLD,
     Record,
     RecordState,
     RequestRecords,
@@ -121,7 +117,10 @@
         self._next_dispatch_id = first_dispatch_id
         self._next_sequence = 1
         self._no_target_since_s: float | None = None
-        self._actions: list[Action] = []
+        self._outcomes = Outcomes(signer=signer, records=self.records, counters=self.counters)
+        self._binder = Binder(
+            queue=self._queue, slots=self.slots, long_share=self._long_share, start=self._start
+        )
 
     # Events
 
@@ -195,7 +194,7 @@
             self._conclude(record, ResultCode.ANSWER_CUT, now_s)
             return self._decide_all(now_s)
         record.next_index += 1
-        self._apply_pieces(record, piece)
+        self._outcomes.pass_on(record, piece)
         if piece.last:
             state = self._apply_slot_freed(record, now_s)
             self.slots.observe_success(state)
@@ -281,7 +280,7 @@
     # Admission
 
     def _observe_new(self, forward: Forward, now_s: float) -> None:
-        proven = forward.packet.attempt == 1 or self._has_receipt(forward)
+        proven = is_first_or_has_receipt(self.signer, forward)
         record = self.records.apply_new(forward)
         self._admit(record, forward, proven, now_s)
 
@@ -294,7 +293,7 @@
                 waiter.entry_vms = [*waiter.entry_vms[-(MAX_WAITERS - 1) :], forward.entry_vm]
             return
         if attempt in record.told:
-            self._finish(forward.entry_vm, forward, record.told[attempt])
+            self._outcomes.finish(forward.entry_vm, forward, record.told[attempt])
             return
         waiter = Waiter(forward, [forward.entry_vm])
         if record.is_open:
@@ -302,34 +301,34 @@
         elif record.code == ResultCode.CANCELLED and attempt <= record.attempt:
             self._observe_cancelled(record, waiter, now_s)
         elif attempt <= record.attempt:
-            self._tell(record, waiter, ResultCode.NO_PROOF)
+            self._outcomes.tell(record, waiter, ResultCode.NO_PROOF)
         else:
             self._observe_retry(record, waiter, now_s)
 
     def _observe_cancelled(self, record: Record, waiter: Waiter, now_s: float) -> None:
         """Refuse a request that its cancellation has overtaken."""
-        proven = waiter.attempt == 1 or self._has_receipt(waiter.forward)
+        proven = is_first_or_has_receipt(self.signer, waiter.forward)
         code = self._check_proof(waiter.forward, proven, now_s) or ResultCode.CANCELLED
         packet = waiter.forward.packet
         record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
         if code == ResultCode.CANCELLED and waiter.attempt == record.attempt:
             record.state = RecordState.REFUSED
-        self._tell(record, waiter, code)
+        self._outcomes.tell(record, waiter, code)
         self.records.apply_finished(record, now_s)
 
     def _observe_retry(self, record: Record, waiter: Waiter, now_s: float) -> None:
         forward = waiter.forward
         if record.state is RecordState.ANSWERED and record.pieces is not None:
             record.attempt = waiter.attempt
-            self._replay(record, waiter)
-            self._tell(record, waiter, ResultCode.OK)
+            self._outcomes.replay(record, waiter, complete=True)
+            self._outcomes.tell(record, waiter, ResultCode.OK)
             return
         if record.state is RecordState.ANSWERED and not forward.packet.idempotent:
             record.attempt = waiter.attempt
-            self._tell(record, waiter, ResultCode.ANSWER_NOT_KEPT)
+            self._outcomes.tell(record, waiter, ResultCode.ANSWER_NOT_KEPT)
             return
         proven = record.state is RecordState.REFUSED and (
-            record.attempt == waiter.attempt - 1 or self._has_receipt(forward)
+            record.attempt == waiter.attempt - 1 or has_receipt(self.signer, forward)
         )
         self._admit(record, forward, proven, now_s)
 
@@ -373,27 +372,13 @@
             state.pinned_short_s = now_s
 
     def _check_proof(self, forward: Forward, proven: bool, now_s: float) -> int:
-        """Return a code unless the attempt may run as far as earlier copies are concerned.
-
-        A deadline further ahead than ``MAX_DEADLINE_AHEAD_S`` gives ``NO_PROOF`` rather than a
-        refusal, because a late copy could arrive after the refusal's record has expired. The
-        same holds for an attempt whose deadline passed longer ago than records are kept.
-        """
+        """Return a code unless the attempt may run as far as earlier copies are concerned."""
         packet = forward.packet
-        ahead_s = packet.deadline_ms / 1000.0 - now_s
         if not packet.idempotent and not proven:
             return ResultCode.NO_PROOF
         if self.records.is_fenced((packet.flow, packet.request_id), packet.deadline_ms):
             return ResultCode.NO_PROOF
-        if packet.deadline_ms and ahead_s <= -KEEP_S:
-            return ResultCode.NO_PROOF
-        if packet.deadline_ms and ahead_s <= 0.0:
-            return ResultCode.DEADLINE_PASSED
-        if packet.idempotent:
-            return 0
-        if not packet.deadline_ms:
-            return ResultCode.MALFORMED_PACKET
-        return ResultCode.NO_PROOF if ahead_s > MAX_DEADLINE_AHEAD_S else 0
+        return check_deadline_proof(forward, now_s)
 
     def _check_room(self, record: Record, now_s: float) -> int:
         pinned = record.forward.pinned
@@ -413,7 +398,7 @@
             return False
         usable = self.slots.usable_slots(now_s)
         if record.is_long:
-            slots = self._long_limits(now_s)[1]
+            slots = self._binder.long_limits(now_s)[1]
         else:
             slots = usable - self.slots.long_in_flight
         return self._waits[record.is_long].is_too_late(
@@ -427,16 +412,16 @@
     def _attach(self, record: Record, waiter: Waiter, now_s: float) -> None:
         attempt = waiter.attempt
         if attempt < record.attempt or len(record.waiters) >= MAX_WAITERS:
-            self._tell(record, waiter, ResultCode.NO_PROOF)
+            self._outcomes.tell(record, waiter, ResultCode.NO_PROOF)
             return
         packet = waiter.forward.packet
         record.attempt = attempt
         record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
         if record.sent_pieces and record.pieces is None:
-            self._tell(record, waiter, ResultCode.ANSWER_NOT_KEPT)
+            self._outcomes.tell(record, waiter, ResultCode.ANSWER_NOT_KEPT)
             return
         if record.state is RecordState.RUNNING:
-            self._replay(record, waiter, last=False)
+            self._outcomes.replay(record, waiter, complete=False)
         record.waiters.append(waiter)
 
     # Runs
@@ -452,67 +437,8 @@
     def _decide_all(self, now_s: float) -> list[Action]:
         """Fill free slots from the queue and return the collected actions."""
         if len(self._queue):
-            self._fill_slots(now_s)
-        actions, self._actions = self._actions, []
-        return actions
-
-    def _fill_slots(self, now_s: float) -> None:
-        self._fill_pinned(False, now_s)
-        free = self.slots.free_targets(now_s)
-        if free and self._queue.count[True]:
-            self._fill_long(free, self._long_limits(now_s)[0], now_s)
-        if free and self._queue.count[False]:
-            self._fill_short(free, now_s)
-        if self._queue.count[True]:
-            self._fill_pinned(True, now_s)
-            free = self.slots.free_targets(now_s)
-            self._fill_long(free, self._long_limits(now_s)[1], now_s)
-
-    def _long_limits(self, now_s: float) -> tuple[int, int]:
-        """Return the slots that long work is sure of and those that it may hold at most."""
-        waits_s = (now_s - record.queued_s for record in self._queue.heads(True))
-        usable = self.slots.usable_slots(now_s)
-        return self._long_share.limits(usable, now_s, max(waits_s, default=0.0))
-
-    def _fill_pinned(self, is_long: bool, now_s: float) -> None:
-        for name in self._queue.pinned_targets(is_long):
-            state = self.slots.get(name)
-            while state and self._may_run_pinned(state, is_long, now_s):
-                record = self._queue.pinned_head(is_long, name)
-                if record is None:
-                    break
-                self._start(record, state, now_s)
-
-    def _may_run_pinned(self, state: TargetSlots, is_long: bool, now_s: float) -> bool:
-        if not self.slots.has_free(state, now_s):
-            return False
-        return not is_long or self._long_share.may_take(self.slots, state, now_s)
-
-    def _fill_long(self, free: list[TargetSlots], limit: int, now_s: float) -> None:
-        """Start long requests until `limit` of them run; drop the targets filled from `free`."""
-        while self._queue.count[True] and self.slots.long_in_flight < limit:
-            takers = [s for s in free if self._long_share.may_take(self.slots, s, now_s)]
-            if not takers or not self._start_head(True, takers, free, now_s):
-                return
-
-    def _fill_short(self, free: list[TargetSlots], now_s: float) -> None:
-        while free and self._queue.count[False]:
-            if not self._start_head(False, free, free, now_s):
-                return
-
-    def _start_head(
-        self, is_long: bool, takers: list[TargetSlots], free: list[TargetSlots], now_s: float
-    ) -> bool:
-        """Start the oldest request that has an allowed target; return whether one left."""
-        zone_queued = self._queue.zone_count[is_long]
-        for record in self._queue.heads(is_long):
-            state = self.slots.pick(takers, record.forward.entry_zone, zone_queued, now_s)
-            if state is not None:
-                self._start(record, state, now_s)
-                if not self.slots.has_free(state, now_s):
-                    free.remove(state)
-                return True
-        return False
+            self._binder.apply_fill(now_s)
+        return self._outcomes.take()
 
     def _start(self, record: Record, state: TargetSlots, now_s: float) -> None:
         if self._is_past(record, now_s):
@@ -545,7 +471,7 @@
             trace=packet.trace,
             body=packet.body,
         )
-        self._actions.append(SendToTarget(state.name, record.dispatch_id, frame))
+        self._outcomes.add(SendToTarget(state.name, record.dispatch_id, frame))
 
     def _apply_slot_freed(self, record: Record, now_s: float) -> TargetSlots:
         del self._running[record.dispatch_id]
@@ -556,7 +482,7 @@
         return state
 
     def _apply_run_stopped(self, record: Record, now_s: float) -> TargetSlots:
-        self._actions.append(CancelAtTarget(record.target, record.dispatch_id))
+        self._outcomes.add(CancelAtTarget(record.target, record.dispatch_id))
         return self._apply_slot_freed(record, now_s)
 
     def _apply_run_lost(self, record: Record, now_s: float) -> None:
@@ -627,12 +553,6 @@
 
     # Outcomes
 
-    def _has_receipt(self, forward: Forward) -> bool:
-        packet = forward.packet
-        return packet.attempt > 1 and self.signer.verify(
-            self.service, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
-        )
-
     def _conclude(self, record: Record, code: int, now_s: float, *, queued: bool = True) -> None:
         """Give every waiting attempt of `record` its outcome."""
         if queued and record.state is RecordState.QUEUED:
@@ -646,68 +566,6 @@
         else:
             record.state = RecordState.REFUSED if is_refusal(code) else RecordState.UNKNOWN
         for waiter in record.waiters:
-            self._tell(record, waiter, code)
+            self._outcomes.tell(record, waiter, code)
         record.waiters = []
         self.records.apply_finished(record, now_s)
-
-    def _tell(self, record: Record, waiter: Waiter, code: int) -> None:
-        """Tell the caller and the entry VMs the outcome of one attempt."""
-        packet = waiter.forward.packet
-        record.told[packet.attempt] = code
-        if len(record.told) > MAX_TOLD:
-            del record.told[min(record.told)]
-        self.counters[ResultCode(code).name] += 1
-        if code != ResultCode.OK:
-            refused = is_refusal(code)
-            reply = Reply(
-                kind=ReplyKind.REFUSED if refused else ReplyKind.UNKNOWN,
-                flow=packet.flow,
-                request_id=packet.request_id,
-                attempt=packet.attempt,
-                code=code,
-                receipt=self._sign(waiter.forward) if refused else b"",
-            )
-            self._actions.append(ReplyToCaller(reply))
-        for entry_vm in waiter.entry_vms:
-            self._finish(entry_vm, waiter.forward, code)
-
-    def _sign(self, forward: Forward) -> bytes:
-        packet = forward.packet
-        return self.signer.sign(self.service, packet.flow, packet.request_id, packet.attempt)
-
-    def _finish(self, entry_vm: str, forward: Forward, code: int) -> None:
-        packet = forward.packet
-        done = Done(
-            flow=packet.flow, request_id=packet.request_id, attempt=packet.attempt, code=code
-        )
-        self._actions.append(Finish(entry_vm, done))
-
-    def _apply_pieces(self, record: Record, piece: AnswerPiece) -> None:
-        """Pass on a target's piece in pieces that fit a datagram."""
-        body = piece.body
-        starts = range(0, max(1, len(body)), MAX_PIECE_BYTES)
-        for start in starts:
-            part = body[start : start + MAX_PIECE_BYTES]
-            last = piece.last and start == starts[-1]
-            self.records.apply_piece(record, part)
-            for waiter in record.waiters:
-                self._send_piece(waiter, record.sent_pieces, last, part)
-            record.sent_pieces += 1
-
-    def _replay(self, record: Record, waiter: Waiter, *, last: bool = True) -> None:
-        pieces = record.pieces or []
-        for index, part in enumerate(pieces):
-            self._send_piece(waiter, index, last and index == len(pieces) - 1, part)
-
-    def _send_piece(self, waiter: Waiter, index: int, last: bool, body: bytes) -> None:
-        packet = waiter.forward.packet
-        reply = Reply(
-            kind=ReplyKind.ANSWER,
-            flow=packet.flow,
-            request_id=packet.request_id,
-            attempt=packet.attempt,
-            index=index,
-            last=last,
-            body=body,
-        )
-        self._actions.append(ReplyToCaller(reply))
--- a/mulberryswitch/requests/_pending.py
+++ b/mulberryswitch/requests/_pending.py
@@ -8,14 +8,14 @@
     Declined,
     Done,
     Forward,
-    Reply,
-    ReplyKind,
     ResultCode,
     is_refusal,
 )
 
 from ._actions import Action, ForwardAgain, ReplyToCaller
 from ._budget import RetryBudget
+from ._outcomes import build_outcome
+from ._proof import is_first_or_has_receipt
 from ._receipts import ReceiptSigner
 
 __all__ = ["PendingRequests"]
@@ -171,11 +171,7 @@
 
     def _refuse(self, forward: Forward, code: int, *, may_have_run: bool) -> list[Action]:
         """Refuse an attempt, or call it unknown where a refusal could not be proved."""
-        packet = forward.packet
-        proven = packet.attempt == 1 or packet.idempotent
-        proven = proven or self.signer.verify(
-            forward.service, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
-        )
+        proven = forward.packet.idempotent or is_first_or_has_receipt(self.signer, forward)
         if may_have_run:
             code = ResultCode.OWNER_LOST
         elif not proven:
@@ -185,23 +181,8 @@
         return [self._reply(forward, code)]
 
     def _reply(self, forward: Forward, code: int) -> ReplyToCaller:
-        packet = forward.packet
-        refused = is_refusal(code)
         self.counters[ResultCode(code).name] += 1
-        receipt = b""
-        if refused:
-            receipt = self.signer.sign(
-                forward.service, packet.flow, packet.request_id, packet.attempt
-            )
-        reply = Reply(
-            kind=ReplyKind.REFUSED if refused else ReplyKind.UNKNOWN,
-            flow=packet.flow,
-            request_id=packet.request_id,
-            attempt=packet.attempt,
-            code=code,
-            receipt=receipt,
-        )
-        return ReplyToCaller(reply)
+        return ReplyToCaller(build_outcome(self.signer, forward, code))
 
 
 def _key_of(forward: Forward) -> PendingKey:
--- a/mulberryswitch/requests/_slots.py
+++ b/mulberryswitch/requests/_slots.py
@@ -17,7 +17,9 @@
 EJECT_AFTER = 3
 EJECT_FIRST_S = 1.0
 EJECT_MAX_S = 30.0
-EJECT_SHARE = 3  # at most one target in three
+# Ejection and the slow start of returning targets affect at most one target in three, because a
+# fault that all of them share is not theirs.
+MEASURE_SHARE = 3
 REPORT_FRESH_S = 2.0
 LOAD_HALF_LIFE_S = 2.0
 # The entry zone may be preferred while its target's average load is within this of the mean.
@@ -105,9 +107,15 @@
         state.is_up = True
         self._usable = None
         since = self.first_seen_s if self.first_seen_s is not None else now_s
-        if state.joining or state.was_lost or now_s - since > TAKEOVER_S:
+        cold = state.was_lost or now_s - since > TAKEOVER_S
+        if state.joining or (cold and self._may_slow_another(now_s)):
             state.slow_since_s = now_s
 
+    def _may_slow_another(self, now_s: float) -> bool:
+        """Return whether links that return together leave enough capacity for a slow start."""
+        slow = sum(state.is_up and self.capacity(state, now_s) < self.slots for state in self)
+        return (slow + 1) * MEASURE_SHARE <= len(self.targets)
+
     def observe_lost(self, name: str, now_s: float) -> None:
         """The link to the target broke, after its slots were freed."""
         state = self.targets.get(name)
@@ -131,7 +139,7 @@
         if state.failures < EJECT_AFTER or state.ejected_until_s > now_s:
             return
         ejected = sum(other.ejected_until_s > now_s for other in self)
-        if (ejected + 1) * EJECT_SHARE > len(self.targets):
+        if (ejected + 1) * MEASURE_SHARE > len(self.targets):
             return
         state.ejected_until_s = state.slow_since_s = now_s + state.eject_s
         state.eject_s = min(EJECT_MAX_S, 2.0 * state.eject_s)
