--- a/mulberryswitch/daemon/_request_service.py
+++ b/mulberryswitch/daemon/_request_service.py
@@ -131,7 +131,7 @@
         elif self.pending.is_pending(declined):
             self.observe_declined(declined, now_s)
         else:
-            reply = build_refusal(signer=self.signer, packet=packet, code=code)
+            reply = build_refusal(self.signer, forward, code)
             self.count(f"refused_{int(reply.code)}", 1)
             self.emit(ToFabric(message=reply))
 
--- a/mulberryswitch/requests/_pending.py
+++ b/mulberryswitch/requests/_pending.py
@@ -8,15 +8,14 @@
     Declined,
     Done,
     Forward,
-    Reply,
-    ReplyKind,
     ResultCode,
-    is_refusal,
 )
 
 from ._actions import Action, ForwardAgain, ReplyToCaller
 from ._budget import RetryBudget
+from ._outcomes import build_outcome
 from ._receipts import ReceiptSigner
+from ._refusals import build_refusal
 
 __all__ = ["PendingRequests"]
 
@@ -178,38 +177,13 @@
         self._waiting.pop(key, None)
 
     def _refuse(self, forward: Forward, code: int, *, may_have_run: bool) -> list[Action]:
-        """Refuse an attempt, or call it unknown where a refusal could not be proved."""
-        packet = forward.packet
-        proven = packet.attempt == 1 or packet.idempotent
-        proven = proven or self.signer.verify(
-            packet.address, packet.flow, packet.request_id, packet.attempt - 1, packet.receipt
-        )
-        if may_have_run:
-            code = ResultCode.OWNER_LOST
-        elif not proven:
-            code = ResultCode.NO_PROOF
-        elif not is_refusal(code):
-            code = ResultCode.NO_PATH  # the peer's reason to decline means nothing to a caller
-        return [self._reply(forward, code)]
+        reply = build_refusal(self.signer, forward, code, may_have_run=may_have_run)
+        self.counters[ResultCode(reply.code).name] += 1
+        return [ReplyToCaller(reply)]
 
     def _reply(self, forward: Forward, code: int) -> ReplyToCaller:
-        packet = forward.packet
-        refused = is_refusal(code)
         self.counters[ResultCode(code).name] += 1
-        receipt = b""
-        if refused:
-            receipt = self.signer.sign(
-                packet.address, packet.flow, packet.request_id, packet.attempt
-            )
-        reply = Reply(
-            kind=ReplyKind.REFUSED if refused else ReplyKind.UNKNOWN,
-            flow=packet.flow,
-            request_id=packet.request_id,
-            attempt=packet.attempt,
-            code=code,
-            receipt=receipt,
-        )
-        return ReplyToCaller(reply)
+        return ReplyToCaller(build_outcome(self.signer, forward, code))
 
 
 def _key_of(forward: Forward) -> PendingKey:
--- a/mulberryswitch/requests/_records.py
+++ b/mulberryswitch/requests/_records.py
@@ -78,6 +78,7 @@
     is_foreign: bool = False
     counted_long: bool = False
     may_have_run: bool = False
+    is_proven: bool = True
     sheds: int = 0
     queued_s: float = 0.0
     dispatch_id: int = 0
