--- a/standins/_run.py
+++ b/standins/_run.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ._cluster import Cluster, ClusterError, ClusterPlan, build_document
-from ._counts import Counts, count_late_work, count_records
+from ._counts import Counts, count_late_work, count_records, find_longest_gap
 from ._plans import JOINING, LEAVING, start_targets
 
 __all__ = [
@@ -89,6 +89,7 @@
     findings: Findings
     reverted: int
     late_work: int
+    longest_gap_s: float
 
     def find_failures(self, allowed: dict[str, int] | None = None) -> dict[str, Any]:
         """Return each value that is out of its bound."""
@@ -161,6 +162,7 @@
         findings=findings,
         reverted=watch.reverted,
         late_work=late_work,
+        longest_gap_s=find_longest_gap(records),
     )
 
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -222,9 +222,10 @@
     watch_datagrams(sock, caller.receive)
     loads = list(parse_loads(cfg))
     now_s = time.monotonic()
+    flow_spread_s = section.getfloat("flow_spread_s", 1.0)
     for load in loads:
         for _ in range(load.long_flows):
-            caller.add_flow(load, now_s + rng.random())
+            caller.add_flow(load, now_s + rng.uniform(0.0, flow_spread_s))
     await _load_until(caller, loads, now_s + section.getfloat("seconds"), stop)
     caller.apply_end()
     await _tick_until(caller, time.monotonic() + section.getfloat("drain_s", 12.0), stop)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -47,6 +47,7 @@
         **asdict(result.counts),
         "reverted": result.reverted,
         "late_work": result.late_work,
+        "longest_gap_s": round(result.longest_gap_s, 3),
         "config_spread_s": None if spread_s is None else round(spread_s, 3),
     }
 
--- a/standins/tests/test_counts.py
+++ b/standins/tests/test_counts.py
@@ -4,7 +4,7 @@
 import unittest
 from pathlib import Path
 
-from standins._counts import count_late_work, count_records
+from standins._counts import count_late_work, count_records, find_longest_gap
 from standins._records import read_records
 
 
@@ -67,6 +67,17 @@
         self.assertEqual(count_late_work(records, target="feeds-1", after_s=1.5), 2)
         self.assertEqual(count_late_work(records, target="feeds-2", after_s=1.5), 0)
 
+    def test_unanswered_request_is_explained_only_by_a_dropped_datagram(self):
+        unanswered = [build_request(1, "unknown"), build_request(2, "refused_not_run", flow="bb")]
+        self.check(unanswered, unknown=1, refused_not_run=1, unexplained=2)
+        dropped = {"event": "dropped", "flow": "bb"}
+        self.check([*unanswered, dropped], unknown=1, refused_not_run=1, unexplained=1)
+
+    def test_longest_gap_is_taken_per_service(self):
+        times = ((1.0, "feeds"), (1.5, "scans"), (2.0, "feeds"), (2.1, "scans"))
+        records = [build_started(1, at_s=at_s, service=service) for at_s, service in times]
+        self.assertEqual(find_longest_gap(records), 1.0)
+
 
 BAD = (
     "lost",
