--- a/standins/_cluster.py
+++ b/standins/_cluster.py
@@ -94,8 +94,7 @@
     """Everything that a run starts.
 
     Probabilities of `fabric` are from 0 to 1. `load_s` is the duration of the load and
-    `flow_spread_s` the time over which long flows are opened, in seconds. `allow_cuts` lets links
-    between VMs be cut.
+    `flow_spread_s` the time over which long flows are opened, in seconds.
     """
 
     zones: tuple[str, ...]
@@ -108,7 +107,6 @@
     fabric_caller_port: int
     fabric_vm_port: int
     flow_spread_s: float = 1.0
-    allow_cuts: bool = False
     seed: int = 1
     fabric: dict[str, float] = field(default_factory=dict)
 
@@ -239,7 +237,7 @@
             operator={"listen": f"{HOST}:{vm.operator_port}"},
             logs={"level": "info"},
             tracing={"exporter": "none"},
-            testing={"allow_cuts": self.plan.allow_cuts},
+            testing={"allow_cuts": "true"},
         )
 
     def start_callers(self) -> list[str]:
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -268,7 +268,6 @@
             load_s=scenario.load_s,
             seed=number + 1,
             flow_spread_s=scenario.load_s * FLOW_SPREAD_SHARE,
-            allow_cuts=True,
         )
         kept = keep / f"{scenario.name}-{number + 1}" if keep else None
 
