--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -31,6 +31,8 @@
 
 def main() -> int:
     """Run the tests and return the exit code."""
+    # An installed copy of the package must not be tested in place of this checkout.
+    sys.path.insert(0, str(ROOT))
     names = sys.argv[1:]
     loader = unittest.TestLoader()
     if names:
