Keep the member list in order instead of building it at each change

With 1,024 members more than half of the processor time went into building the tuple of members after each change of the view, and a part into the search for listed VMs that are no members. Both are now kept up to date. A list that arrives right after a stream was opened no longer drops the ping that makes a dead VM refute.

--- a/mulberryswitch/vms/_membership.py
+++ b/mulberryswitch/vms/_membership.py
@@ -121,6 +121,7 @@
         self._relays: dict[int, _Relay] = {}
         self._round: list[str] = []
         self._listed: dict[str, str] = {}
+        self._unheard: dict[str, str] = {}
         self._seeds: dict[str, str] = {}
         self._contacts: dict[str, str] = {}
         self._last_tick_s: float | None = None
@@ -161,14 +162,18 @@
         others = [entry for entry in entries if entry.vm != self.vm]
         if not self._listed:
             self._apply_first_list(others)
-        unknown = {e.vm: e.address for e in others if self._view.find(e.vm) is None}
-        for vm in self._contacts.keys() & self._listed.keys() - unknown.keys():
-            del self._contacts[vm]
+        listed = {entry.vm: entry.address for entry in others} or self._listed
+        for vm in self._listed.keys() - listed.keys():
+            self._contacts.pop(vm, None)
         # Only entries that are new in the list are pinged at once; the others had their ping.
         self._contacts |= {
-            vm: address for vm, address in unknown.items() if self._listed.get(vm) != address
+            vm: address
+            for vm, address in listed.items()
+            if self._view.find(vm) is None and self._listed.get(vm) != address
         }
-        self._listed = {entry.vm: entry.address for entry in others} or self._listed
+        self._listed = listed
+        records = self._view.records
+        self._unheard = {vm: a for vm, a in listed.items() if vm not in records}
 
     def _apply_first_list(self, entries: Iterable[ListEntry]) -> None:
         updates = (
@@ -444,7 +449,7 @@
         """Ping one VM that is not a member, which ends a partition without outside help."""
         records = self._view.records
         choices = {(vm, record.member.address) for vm, record in self._view.dead.items()}
-        choices |= {(vm, address) for vm, address in self._listed.items() if vm not in records}
+        choices |= {(vm, address) for vm, address in self._unheard.items() if vm not in records}
         if self._seeds:
             known = {record.member.address for record in records.values()}
             choices |= {item for item in self._seeds.items() if item[1] not in known}
--- a/mulberryswitch/vms/_view.py
+++ b/mulberryswitch/vms/_view.py
@@ -98,20 +98,21 @@
         self.added: list[str] = []
         self.queue = UpdateQueue()
         self.version = 1
+        # Members in order of their names, kept up to date, because building a large view anew at
+        # each change took more than half of the processor time.
         self._names = [own.vm]
+        self._shown = [own]
+        self._leaving: set[str] = set()
         self._snapshot: Snapshot | None = None
         self._members: tuple[int, Mapping[str, Member]] | None = None
 
     def snapshot(self) -> Snapshot:
         """Return the view as immutable values; calls at the same version return the same one."""
         if self._snapshot is None or self._snapshot.version != self.version:
-            records = self.records
-            # The names are kept in order, because sorting a large view at each change is costly.
-            routable = tuple(
-                [records[vm].member if vm in records else self.own for vm in self._names]
-            )
-            leaving = MemberState.LEAVING
-            live = tuple([member for member in routable if member.state is not leaving])
+            routable = tuple(self._shown)
+            live = routable
+            if self._leaving:
+                live = tuple([member for member in routable if member.vm not in self._leaving])
             self._snapshot = Snapshot(version=self.version, routable=routable, live=live)
         return self._snapshot
 
@@ -141,7 +142,7 @@
     def apply_own(self, own: Member) -> None:
         """Replace what this VM says about itself; every datagram carries it."""
         self.own = own
-        self.version += 1
+        self._show(own)
 
     def apply_listed(self, member: Member) -> None:
         """Add a member that is known from the platform's list only."""
@@ -176,9 +177,8 @@
         self.suspects.pop(vm, None)
         if vm not in self.records:
             self.added.append(vm)
-            bisect.insort(self._names, vm)
         self.records[vm] = record
-        self.version += 1
+        self._show(record.member)
 
     def apply_suspicion(self, vm: str, *, now_s: float) -> None:
         """Start a suspicion that this VM raised, unless one runs."""
@@ -190,7 +190,8 @@
         # A leaving member owns nothing and keeps its state, which outranks a suspicion.
         if record.member.state == MemberState.ALIVE:
             record.member = replace(record.member, state=MemberState.SUSPECT)
-            self._publish(record.member)
+            self._show(record.member)
+            self.queue.apply(build_update(record.member))
 
     def apply_heard(self, vm: str, *, now_s: float) -> None:
         """Note that `vm` was heard; only a suspect has to refute with a higher incarnation."""
@@ -205,11 +206,14 @@
     def apply_death(self, vm: str, *, now_s: float) -> None:
         """Declare a member dead."""
         record = self.records.pop(vm)
-        del self._names[bisect.bisect_left(self._names, vm)]
+        index = bisect.bisect_left(self._names, vm)
+        del self._names[index], self._shown[index]
+        self._leaving.discard(vm)
         self.suspects.pop(vm, None)
         member = replace(record.member, state=MemberState.DEAD)
         self.dead[vm] = Record(member=member, changed_s=now_s)
-        self._publish(member)
+        self.version += 1
+        self.queue.apply(build_update(member))
 
     def _put_dead(self, member: Member, now_s: float) -> None:
         """Remember that a VM that is no member is dead at this incarnation or a lower one."""
@@ -234,6 +238,7 @@
         if update.incarnation < record.member.incarnation:
             return False
         record.member = replace(build_member(update), state=record.member.state)
+        self._show(record.member)
         # A leaving member owns nothing, and a listed VM that nobody heard may be long gone.
         if record.member.state == MemberState.LEAVING or record.is_listed_only:
             self.apply_death(update.vm, now_s=now_s)
@@ -271,6 +276,16 @@
         record.suspect_until_s = now_s + self.suspicion_s
         self.suspects[record.member.vm] = record
 
-    def _publish(self, member: Member) -> None:
+    def _show(self, member: Member) -> None:
+        """Replace or insert a member in the ordered view."""
+        index = bisect.bisect_left(self._names, member.vm)
+        if self._names[index : index + 1] == [member.vm]:
+            self._shown[index] = member
+        else:
+            self._names.insert(index, member.vm)
+            self._shown.insert(index, member)
+        if member.state == MemberState.LEAVING:
+            self._leaving.add(member.vm)
+        else:
+            self._leaving.discard(member.vm)
         self.version += 1
-        self.queue.apply(build_update(member))
