Read refused versions again and ask more peers at the start

A version that was refused and then published again with other, valid content was never read again; and a starting VM that asked three peers could miss the only one that held the newest version and accept an older one from the platform.

Ruled out: re-reading a refused version at every poll, which would fetch up to 1 MB without pause.

--- a/mulberryswitch/configuration/_exchange.py
+++ b/mulberryswitch/configuration/_exchange.py
@@ -33,6 +33,10 @@
 # Anti-entropy repairs lost announces; two announces per period cost about 20 bytes a second.
 REPAIR_S = 3.0
 ASK_S = 1.0
+# A starting VM asks more peers than an announce reaches, because the newest version may have
+# reached only a part of the fleet.
+ASK_NEAR = 6
+ASK_FAR = 2
 PULL_TIMEOUT_S = 1.0
 MAX_PULL_SOURCES = 4
 # A fleet of mixed releases may announce documents that this release refuses; each pull of one may
@@ -100,6 +104,7 @@
         self._history = History()
         self._held: _PlatformDocument | None = None
         self._refused_version = 0
+        self._refused_read_due_s = float("-inf")
         self._refused_until_s: dict[tuple[int, bytes], float] = {}
         self._tombstone_pull_due_s = float("-inf")
         self._pull: _Pull | None = None
@@ -165,8 +170,9 @@
         if offer.accepted:
             self._keep()
         elif any(problem.code is not ResultCode.SHEET_NOT_JSON for problem in offer.problems):
-            # A document cut off on its way is read again; others stay refused at this version.
+            # A document cut off on its way is read again at once.
             self._refused_version = max(self._refused_version, version)
+            self._refused_read_due_s = now_s + REFUSED_S
         return offer
 
     def _keep(self) -> None:
@@ -321,8 +327,10 @@
         self._tick_s = now_s
 
     def _pick_announce_peers(self, now_s: float, rng: Random) -> list[str]:
-        if self._rounds or self.store.sheet is None:
-            self._rounds = max(0, self._rounds - 1)
+        if self.store.sheet is None:
+            return self._pick_peers(rng, ASK_NEAR, ASK_FAR)
+        if self._rounds:
+            self._rounds -= 1
             # A random start keeps the repairs of the fleet from falling on the same tick.
             self._repair_due_s = now_s + REPAIR_S * rng.random()
             return self._pick_peers(rng, FANOUT - 1, 1)
@@ -347,6 +355,9 @@
 
         The caller reports its end with one of the ``observe_platform`` methods.
         """
+        if now_s >= self._refused_read_due_s:
+            # The platform may have replaced the content of a refused version.
+            self._refused_version = 0
         held_version = self._held.version if self._held else 0
         after = max(self.store.version, self._refused_version, held_version)
         return self._reads.decide(after=after, watches=self.is_reader, now_s=now_s, rng=rng)
