Routing state machine, router tests and the faults they showed

A hypothesis state machine runs several VMs in memory with deaths, joins, partitions, pauses and changes of targets. It showed that a VM that was a standby earlier took over from an outdated base, that an owner which was cut off never asked a zone that came back, that a VM handing over forgot what its successor had sent before it died, and that the counts behind the connection limits were stale. Copies now carry whether their owner still updates them, and owners ask for copies. Taking over only from the copy of the last owner was ruled out: its last changes may have reached one standby only.

--- a/mulberryswitch/routing/__init__.py
+++ b/mulberryswitch/routing/__init__.py
@@ -1,7 +1,8 @@
 """Routing of packets to owners, and the replicated flow tables of the owners."""
 
 from ._base import FLOW_SHARDS, shard_of
-from ._replication import FlowShards, Outgoing, ShardCounters
+from ._entry import Outgoing
+from ._replication import FlowShards, ShardCounters
 from ._router import (
     UNPINNED,
     Drop,
--- a/mulberryswitch/routing/_shard.py
+++ b/mulberryswitch/routing/_shard.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
+from math import inf
 from sys import intern
 
 from mulberryswitch.contracts import Pin, ResultCode, Target, TargetState
@@ -55,15 +56,21 @@
         self._exceptions: dict[bytes, str] = {}
         self._young: deque[tuple[float, bytes]] = deque()
         self._closed: list[bytes] = []
+        # Flows per target, known here or inherited; `_inherited` is the part that another owner
+        # reported and that is unknown here.
         self._counts: dict[str, int] = {}
         self._inherited: dict[str, int] = {}
+        self._active_count = 0
+        self._foreign: frozenset[str] = frozenset()
+        self._valid_until_s = inf
         self._active: dict[str, float] = {}
         self._changed_s = 0.0
         self._limit = 0
         self._sweep: list[bytes] = []
-        self._swept_s = 0.0
 
-    def __len__(self) -> int:
+    @property
+    def open_count(self) -> int:
+        """Flows known here."""
         return len(self._flows)
 
     @property
@@ -78,25 +85,40 @@
 
     def count(self, target: str) -> int:
         """Return the flows at `target`: known here, or reported by the previous owner."""
-        return self._counts.get(target, 0) + self._inherited.get(target, 0)
+        return self._counts.get(target, 0)
 
     def counts(self) -> dict[str, int]:
         """Return the flows of each target that has any."""
-        names = self._counts.keys() | self._inherited.keys()
-        return {name: self.count(name) for name in sorted(names) if self.count(name)}
+        return {name: count for name, count in sorted(self._counts.items()) if count}
+
+    def apply_targets(
+        self,
+        *,
+        targets: Sequence[Target],
+        connections: int,
+        now_s: float,
+        foreign: frozenset[str] = frozenset(),
+    ) -> None:
+        """Set the targets of the service and the connection limit of each; moves no open flow.
 
-    def apply_targets(self, *, targets: Sequence[Target], connections: int, now_s: float) -> None:
-        """Set the targets of the service and the connection limit of each; moves no open flow."""
-        names = {intern(t.name): t for t in targets if t.takes_new_work}
+        `foreign` names the targets of other services: a flow that was pinned to one of them before
+        it changed its service is not resolved any more.
+        """
         first = not self._active
         active = {}
-        for name, target in sorted(names.items()):
-            fresh = target.state is TargetState.JOINING or not first
-            active[name] = self._active.get(name, now_s if fresh else now_s - SLOW_START_S)
+        for target in sorted(targets, key=lambda target: target.name):
+            if target.takes_new_work:
+                cold = target.state is TargetState.JOINING or not first
+                since_s = now_s if cold else now_s - SLOW_START_S
+                active[intern(target.name)] = self._active.get(target.name, since_s)
         if active.keys() != self._active.keys():
             self._changed_s = now_s
         self._active = active
+        self._active_count = sum(map(self.count, active))
         self._limit = connections // FLOW_SHARDS
+        self._foreign = foreign
+        for name in foreign & self._counts.keys():
+            self.apply_target_lost(target=name)
         if not self.base and not self.waiting:
             self._set_base(tuple(active))
 
@@ -106,7 +128,7 @@
         mark = self._flows.get(flow)
         if mark is not None:
             return self._touch(flow, mark)
-        if self.waiting:
+        if self.waiting or now_s > self._valid_until_s:
             return ResultCode.NOT_OWNER
         if len(self._flows) >= self.max_flows:
             return ResultCode.FLOW_TABLE_FULL
@@ -130,11 +152,13 @@
         if mark is not None:
             return self._touch(flow, mark)
         self._observe_time(now_s)
-        if self.waiting:
+        if self.waiting or now_s > self._valid_until_s:
             return ResultCode.NOT_OWNER
         if not self._table:
             return None
         target = self._table[pick_slot(flow)]
+        if target in self._foreign:
+            return ResultCode.UNKNOWN_FLOW
         if not self.complete and len(self._flows) < self.max_flows:
             self._release_inherited(target)
             self._add(flow, target, guessed=True)
@@ -160,12 +184,16 @@
         ended = [flow for flow, mark in self._flows.items() if mark[0] == target]
         for flow in ended:
             self._remove(flow)
-        self._inherited.pop(target, None)
+        self._change_count(target, -self._inherited.pop(target, 0))
         return ended
 
-    def apply_tick(self, *, now_s: float) -> None:
-        """Advance the idle sweep and the completeness."""
+    def apply_tick(self, *, now_s: float, valid_s: float = inf) -> None:
+        """Advance the idle sweep and the completeness.
+
+        After `valid_s` without a tick, unknown flows are not resolved.
+        """
         self._observe_time(now_s)
+        self._valid_until_s = now_s + valid_s
 
     # Replication
 
@@ -288,6 +316,7 @@
         self._next_base, self._next_table = (), ()
         for state in (self._flows, self._exceptions, self._counts, self._inherited):
             state.clear()
+        self._active_count = 0
         self._marks.clear()
         self._young.clear()
         self._closed.clear()
@@ -312,8 +341,9 @@
         """Count the flows at base picks that another owner has and that are unknown here."""
         for name, count in counts.items():
             unknown = count - self._counts.get(name, 0)
-            if unknown > self._inherited.get(name, 0):
-                self._inherited[intern(name)] = unknown
+            if unknown > 0 and name not in self._foreign:
+                self._inherited[name] = self._inherited.get(name, 0) + unknown
+                self._change_count(name, unknown)
 
     def _is_exception(self, flow: bytes, target: str) -> bool:
         slot = pick_slot(flow)
@@ -324,7 +354,7 @@
     def _pick_target(self, flow: bytes, now_s: float) -> str | ResultCode:
         if not self._active:
             return ResultCode.NO_ACTIVE_TARGET
-        mean = sum(map(self.count, self._active)) / len(self._active)
+        mean = self._active_count / len(self._active)
         pick = self._table[pick_slot(flow)] if self._table else ""
         if pick in self._active and self.count(pick) < self._bound(pick, mean, now_s):
             return pick
@@ -352,9 +382,11 @@
 
     def _add(self, flow: bytes, target: str, guessed: bool = False) -> None:
         self._flows[flow] = self._mark(target, guessed)
-        self._counts[target] = self._counts.get(target, 0) + 1
+        self._change_count(target, 1)
 
     def _add_pin(self, flow: bytes, target: str, now_s: float) -> None:
+        if target in self._foreign:
+            return
         target = intern(target)
         self._add(flow, target)
         if self._is_exception(flow, target):
@@ -363,13 +395,19 @@
 
     def _remove(self, flow: bytes) -> None:
         target = self._flows.pop(flow)[0]
-        self._counts[target] -= 1
+        self._change_count(target, -1)
         if self._exceptions.pop(flow, None) is not None:
             self._closed.append(flow)
 
     def _release_inherited(self, target: str) -> None:
         if self._inherited.get(target, 0) > 0:
             self._inherited[target] -= 1
+            self._change_count(target, -1)
+
+    def _change_count(self, target: str, change: int) -> None:
+        self._counts[target] = self._counts.get(target, 0) + change
+        if target in self._active:
+            self._active_count += change
 
     def _observe_time(self, now_s: float) -> None:
         stamp = int(now_s) // STAMP_S
@@ -382,6 +420,8 @@
             self._sweep_some()
         if not self.complete and now_s >= self._complete_at_s:
             self.complete = True
+            for name, count in self._inherited.items():
+                self._change_count(name, -count)
             self._inherited.clear()
 
     def _sweep_some(self) -> None:
--- a/mulberryswitch/routing/_streams.py
+++ b/mulberryswitch/routing/_streams.py
@@ -93,6 +93,7 @@
         self._sequence = 0
         self._sent_s = 0.0
         self._wait_s = RESEND_S
+        self._max_unacked = MAX_UNACKED
 
     @property
     def settled(self) -> bool:
@@ -124,6 +125,7 @@
         self._sequence = states[-1].sequence
         self.needs_full = False
         self.unacked = list(states)
+        self._max_unacked = MAX_UNACKED + len(states)
         self._sent_s, self._wait_s = now_s, RESEND_S
         return states
 
@@ -158,7 +160,7 @@
         if not self.unacked:
             self._sent_s, self._wait_s = now_s, RESEND_S
         self.unacked += states
-        if len(self.unacked) > MAX_UNACKED:
+        if len(self.unacked) > self._max_unacked:
             self.unacked, self.needs_full = [], True
             return []
         return states
@@ -190,8 +192,17 @@
         self.pins: dict[bytes, str] = {}
         self.counts: dict[str, int] = {}
         self.updated_s = 0.0
+        # Pins are missing here, so the replica is no copy that a VM could take over from.
+        self.partial = False
+        # The owner is known to send all of its changes to this VM.
+        self.current = False
         self._staged: Replica | None = None
 
+    @property
+    def usable(self) -> bool:
+        """Whether a VM could take over from it."""
+        return bool(self.base) and not self.partial
+
     @classmethod
     def build_copy(cls, flows: FlowShard, *, now_s: float) -> "Replica":
         """Return the state of a shard that this VM no longer serves."""
@@ -224,10 +235,10 @@
         if self._staged and not state.remaining:
             self.base, self.pins = self._staged.base, self._staged.pins
             self.counts, self.role = self._staged.counts, self._staged.role
-            self._staged = None
+            self._staged, self.partial, self.current = None, False, True
         return True
 
-    def apply_adopted(self) -> None:
-        """Drop the content and keep the sequence, so that later changes still apply."""
+    def apply_merged(self) -> None:
+        """Drop the pins, which the flow table holds now; later changes still apply in order."""
         self.role = ShardRole.COPY
-        self.pins, self.counts = {}, {}
+        self.pins, self.partial, self.current = {}, True, False
--- a/mulberryswitch/routing/tests/builders.py
+++ b/mulberryswitch/routing/tests/builders.py
@@ -3,14 +3,34 @@
 from collections import deque
 from collections.abc import Callable
 
-from mulberryswitch.contracts import MemberState, Service, Sheet, Target, TargetState
-from mulberryswitch.routing import FlowShard, FlowShards, Outgoing
+from mulberryswitch.contracts import (
+    Forward,
+    MemberState,
+    Packet,
+    PacketKind,
+    ResultCode,
+    Service,
+    ShardAck,
+    Sheet,
+    Target,
+    TargetState,
+)
+from mulberryswitch.routing import (
+    FlowShard,
+    FlowShards,
+    ForwardTo,
+    Outgoing,
+    Router,
+    ServeFlow,
+    shard_of,
+)
 from mulberryswitch.vms import Member
 
 START_S = 1_000_000.0
 SERVICE = "feeds"
 ZONES = ("north", "south", "west")
 TICK_S = 0.25
+MAX_MESSAGES = 5000
 
 
 def make_target(name: str, *, state: str = "active", service: str = SERVICE) -> Target:
@@ -69,60 +89,140 @@
 
 
 class Network:
-    """Delivers the messages of several FlowShards in memory.
-
-    `drops` decides per (sender, receiver, message) whether a message is lost.
+    """Delivers the messages and packets of several VMs in memory.
+
+    Attributes
+    ----------
+    drops : callable
+        Decides per (sender, receiver) whether a message is lost.
+    blocked : set of (sender, receiver)
+        Directed pairs that a partition cuts.
+    paused : set of str
+        VMs that neither tick nor receive; messages to them wait.
     """
 
-    def __init__(self, sheet: Sheet, members: tuple[Member, ...], *, now_s: float = START_S):
-        self.now_s = now_s
+    def __init__(self, sheet: Sheet, members: tuple[Member, ...]):
+        self.now_s = START_S
         self.vms: dict[str, FlowShards] = {}
+        self.routers: dict[str, Router] = {}
+        self.views: dict[str, tuple[Member, ...]] = {}
+        self.sheets: dict[str, Sheet] = {}
         self.queue: deque[tuple[str, Outgoing]] = deque()
-        self.drops: Callable[[str, Outgoing], bool] = lambda sender, outgoing: False
+        self.drops: Callable[[str, str], bool] = lambda sender, receiver: False
+        self.observes: Callable[[Outgoing], None] = lambda outgoing: None
+        self.blocked: set[tuple[str, str]] = set()
+        self.paused: set[str] = set()
+        self._view_number = 0
         for member in members:
             self.start(member, sheet, members)
         self.deliver()
 
     def start(self, member: Member, sheet: Sheet, members: tuple[Member, ...]) -> None:
         shards = self.vms[member.vm] = FlowShards(vm=member.vm, zone=member.zone)
-        self.send(member.vm, shards.observe_sheet(sheet=sheet, now_s=self.now_s))
-        self.send(member.vm, shards.observe_members(live_members=members, now_s=self.now_s))
+        self.routers[member.vm] = Router(vm=member.vm, zone=member.zone, shards=shards)
+        self.apply_sheet(member.vm, sheet)
+        self.apply_view(member.vm, members)
+
+    def stop(self, vm: str) -> None:
+        for state in (self.vms, self.routers, self.views, self.sheets):
+            del state[vm]
+        self.paused.discard(vm)
+
+    def apply_sheet(self, vm: str, sheet: Sheet) -> None:
+        self.sheets[vm] = sheet
+        self.send(vm, self.vms[vm].observe_sheet(sheet=sheet, now_s=self.now_s))
+
+    def apply_view(self, vm: str, members: tuple[Member, ...]) -> None:
+        self.views[vm] = members
+        self._view_number += 1
+        self.send(vm, self.vms[vm].observe_members(live_members=members, now_s=self.now_s))
+
+    def set_members(self, members: tuple[Member, ...]) -> None:
+        for vm in self.vms:
+            self.apply_view(vm, members)
+        self.deliver()
 
     def send(self, sender: str, messages: list[Outgoing]) -> None:
         self.queue.extend((sender, message) for message in messages)
 
+    def reaches(self, sender: str, receiver: str) -> bool:
+        return receiver in self.vms and (sender, receiver) not in self.blocked
+
     def deliver_one(self, sender: str, outgoing: Outgoing) -> None:
-        receiver = self.vms.get(outgoing.vm)
-        if receiver is None or self.drops(sender, outgoing):
+        self.observes(outgoing)
+        if not self.reaches(sender, outgoing.vm) or self.drops(sender, outgoing.vm):
             return
-        message = outgoing.message
-        if hasattr(message, "missing"):
+        receiver, message = self.vms[outgoing.vm], outgoing.message
+        if isinstance(message, ShardAck):
             answer = receiver.observe_ack(sender_vm=sender, ack=message, now_s=self.now_s)
         else:
             answer = receiver.observe_state(sender_vm=sender, state=message, now_s=self.now_s)
         self.send(outgoing.vm, answer)
 
     def deliver(self) -> None:
+        late: list[tuple[str, Outgoing]] = []
+        rounds = 0
         while self.queue:
-            self.deliver_one(*self.queue.popleft())
-
-    def run(self, seconds: float) -> None:
-        end_s = self.now_s + seconds
-        while self.now_s < end_s:
-            self.now_s += TICK_S
-            for vm, shards in self.vms.items():
-                self.send(vm, shards.decide_tick(now_s=self.now_s))
-            self.deliver()
-
-    def set_members(self, members: tuple[Member, ...]) -> None:
+            rounds += 1
+            # Answers to answers without end would load the links of a real fleet.
+            assert rounds < MAX_MESSAGES, f"message storm: {self.queue[0]}"
+            sender, outgoing = self.queue.popleft()
+            if outgoing.vm in self.paused:
+                late.append((sender, outgoing))
+            else:
+                self.deliver_one(sender, outgoing)
+        self.queue.extend(late)
+
+    def tick(self) -> None:
+        self.now_s += TICK_S
         for vm, shards in self.vms.items():
-            self.send(vm, shards.observe_members(live_members=members, now_s=self.now_s))
-        self.deliver()
-
-    def set_sheet(self, sheet: Sheet) -> None:
-        for vm, shards in self.vms.items():
-            self.send(vm, shards.observe_sheet(sheet=sheet, now_s=self.now_s))
+            if vm not in self.paused:
+                self.send(vm, shards.decide_tick(now_s=self.now_s))
         self.deliver()
 
-    def owner(self, shard: int, service: str = SERVICE) -> str:
-        return next(vm for vm, shards in self.vms.items() if shards.owns(service, shard))
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK_S)):
+            self.tick()
+
+    def route(self, entry_vm: str, flow: bytes, kind: int) -> tuple[str, str | ResultCode | None]:
+        """Return the VM that resolved a packet and the result; no VM if the packet was lost."""
+        packet = Packet(kind=kind, flow=flow, address=f"{SERVICE}:443")
+        route = self.routers[entry_vm].decide(packet=packet, **self.view_of(entry_vm))
+        vm = entry_vm
+        shard = shard_of(flow)
+        forward = Forward(
+            packet=packet, service=SERVICE, version=1, hops=0, entry_vm=vm, entry_zone=""
+        )
+        while True:
+            if isinstance(route, ServeFlow):
+                flows = self.vms[vm].shard(SERVICE, shard)
+                result = (
+                    self.resolve(flows, flow, kind) if flows is not None else ResultCode.NOT_OWNER
+                )
+                if result is not ResultCode.NOT_OWNER:
+                    return vm, result
+                route = self.routers[vm].decide_relay(forward=forward, shard=shard)
+            if not isinstance(route, ForwardTo):
+                return "", None
+            if not self.reaches(vm, route.vm) or route.vm in self.paused:
+                return "", None
+            vm, forward = route.vm, route.forward
+            route = self.routers[vm].decide_forwarded(forward=forward, **self.view_of(vm))
+
+    def view_of(self, vm: str) -> dict:
+        return {
+            "sheet": self.sheets[vm],
+            "members": self.views[vm],
+            "members_version": self._view_number,
+            "now_s": self.now_s,
+        }
+
+    def resolve(self, flows: FlowShard, flow: bytes, kind: int) -> str | ResultCode | None:
+        if kind == PacketKind.OPEN:
+            return flows.apply_open(flow=flow, now_s=self.now_s)
+        if kind == PacketKind.CLOSE:
+            flows.apply_close(flow=flow, now_s=self.now_s)
+        return flows.lookup(flow=flow, now_s=self.now_s)
+
+    def owner(self, shard: int) -> str:
+        return next(vm for vm, shards in self.vms.items() if shards.owns(SERVICE, shard))
--- a/mulberryswitch/routing/tests/test_replication.py
+++ b/mulberryswitch/routing/tests/test_replication.py
@@ -62,7 +62,7 @@
         """Guards against wrong pins by a VM that is owner by rank and holds no state yet."""
         self.open_flows(200)
         joined = make_members(9)
-        self.net.drops = lambda sender, outgoing: True
+        self.net.drops = lambda sender, receiver: True
         for member in joined[6:]:
             self.net.start(member, self.sheet, joined)
         self.net.deliver()
@@ -97,7 +97,7 @@
         flows.apply_targets(targets=make_targets(2), connections=10**6, now_s=self.net.now_s)
         for flow in make_flows(30_000):
             flows.apply_open(flow=flow, now_s=self.net.now_s)
-        self.net.drops = lambda sender, out: sizes.append(len(PEER_CODEC.encode(out.message)))
+        self.net.observes = lambda out: sizes.append(len(PEER_CODEC.encode(out.message)))
         self.net.run(3)
         self.assertGreater(len(sizes), 2)
         self.assertLess(max(sizes), 256 * 1024)
