Report messages of a peer link that is closed before its task ran

Cause: a link that was opened and closed in one step of the decisions (a forward to a VM that is declared dead in the same step) was cancelled before its coroutine started. Its queue stayed registered, so its messages and all later ones to that VM were neither sent nor reported. Seen as requests without any result in the demo after a kill. Ruled out: the decline and retry path, whose log shows every other copy forwarded again. The end of a link is now reported by the task's callback.

--- a/mulberryswitch/daemon/tests/fleet.py
+++ b/mulberryswitch/daemon/tests/fleet.py
@@ -449,7 +449,8 @@
             else:
                 self.announced[vm] = self.now_s
             return
-        self.at(CALLER_S, self._reply, message)
+        if not self._is_lost():
+            self.at(CALLER_S, self._reply, message)
 
     def _spray(self, packet: Packet) -> None:
         vms = [vm for vm, s in self.announced.items() if self.now_s - s < FABRIC_FORGETS_S]
--- a/mulberryswitch/links/_peers.py
+++ b/mulberryswitch/links/_peers.py
@@ -7,6 +7,7 @@
 import itertools
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from mulberryswitch.contracts import PEER_CODEC, DecodeError, Hello
@@ -47,6 +48,16 @@
     )
 
 
+@dataclass(kw_only=True, slots=True, eq=False)
+class _Link:
+    """One outgoing stream and the messages that wait for it."""
+
+    queue: asyncio.Queue
+    task: asyncio.Task | None = None
+    was_open: bool = False
+    was_refused: bool = False
+
+
 class PeerLinks:
     """Owner of all streams to and from peers.
 
@@ -87,8 +98,7 @@
         self.report = report
         self.count = count
         self.cut_vms: frozenset[str] = frozenset()
-        self._queues: dict[str, asyncio.Queue] = {}
-        self._tasks: dict[str, asyncio.Task] = {}
+        self._links: dict[str, _Link] = {}
         self._incoming: dict[asyncio.StreamWriter, str] = {}
         self._server: asyncio.Server | None = None
 
@@ -103,9 +113,9 @@
             self._server.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(1.0):
-                await asyncio.gather(*(queue.join() for queue in self._queues.values()))
-        for task in list(self._tasks.values()):
-            task.cancel()
+                await asyncio.gather(*(link.queue.join() for link in self._links.values()))
+        for vm in list(self._links):
+            self.close(vm)
         for writer in list(self._incoming):
             writer.close()
 
@@ -123,46 +133,55 @@
         if vm in self.cut_vms:
             self.report(PeerUnsent(vm=vm, messages=(message,)))
             return
-        queue = self._queues.get(vm)
-        if queue is None:
-            queue = self._queues[vm] = asyncio.Queue(MAX_QUEUED_MESSAGES)
-            self._tasks[vm] = asyncio.create_task(self._run_link(vm, address, queue))
+        link = self._links.get(vm)
+        if link is None:
+            link = self._links[vm] = self._open_link(vm, address)
         try:
-            queue.put_nowait(message)
+            link.queue.put_nowait(message)
         except asyncio.QueueFull:
             self.report(PeerUnsent(vm=vm, messages=(message,)))
 
     def close(self, vm: str) -> None:
         """Close the stream to `vm`, if any."""
-        task = self._tasks.get(vm)
-        if task is not None:
-            task.cancel()
-
-    async def _run_link(self, vm: str, address: str, queue: asyncio.Queue) -> None:
+        link = self._links.get(vm)
+        if link is not None:
+            link.task.cancel()
+
+    def _open_link(self, vm: str, address: str) -> _Link:
+        link = _Link(queue=asyncio.Queue(MAX_QUEUED_MESSAGES))
+        link.task = asyncio.create_task(self._run_link(address, link))
+        # A task that is cancelled before its first step runs no code of its own, so the end of the
+        # link is reported by a callback.
+        link.task.add_done_callback(lambda _: self._finish_link(vm, link))
+        return link
+
+    async def _run_link(self, address: str, link: _Link) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*parse_endpoint(address))
-        except (OSError, TimeoutError, asyncio.CancelledError) as exc:
-            refused = isinstance(exc, ConnectionRefusedError)
-            self._finish_link(vm, queue, was_open=False, was_refused=refused)
+        except (OSError, TimeoutError) as exc:
+            link.was_refused = isinstance(exc, ConnectionRefusedError)
             return
+        link.was_open = True
         try:
-            await self._pump(reader, writer, queue)
-        except (OSError, asyncio.CancelledError):
-            pass
+            await self._pump(reader, writer, link.queue)
+        except OSError as exc:
+            log.info("peers: stream lost", extra={"address": address, "reason": str(exc)})
         finally:
             writer.close()
-            self._finish_link(vm, queue, was_open=True)
-
-    def _finish_link(
-        self, vm: str, queue: asyncio.Queue, *, was_open: bool, was_refused: bool = False
-    ) -> None:
-        if self._queues.get(vm) is queue:
-            del self._queues[vm], self._tasks[vm]
-        unsent = tuple(queue.get_nowait() for _ in range(queue.qsize()))
+
+    def _finish_link(self, vm: str, link: _Link) -> None:
+        if self._links.get(vm) is link:
+            del self._links[vm]
+        unsent = tuple(link.queue.get_nowait() for _ in range(link.queue.qsize()))
         self.report(PeerUnsent(vm=vm, messages=unsent))
         self.report(
-            PeerLost(vm=vm, lost_s=self.clock(), was_open=was_open, was_refused=was_refused)
+            PeerLost(
+                vm=vm,
+                lost_s=self.clock(),
+                was_open=link.was_open,
+                was_refused=link.was_refused,
+            )
         )
 
     async def _pump(self, reader, writer, queue: asyncio.Queue) -> None:
