Check hearsay suspicions before they end

A suspicion and its refutation both travel by gossip, and the refutation reached some views later than 1.5 s after the suspicion.

Each view now pings a suspect itself once the suspicion has lasted for a third of its time.

Ruled out: a suspicion that grows with the fleet, because it delays each real death, and waiting for the report of the first observer, which may die itself.

--- a/mulberryswitch/vms/_membership.py
+++ b/mulberryswitch/vms/_membership.py
@@ -25,6 +25,8 @@
 RECONNECT_PERIODS = 4
 # Of the members that learn of a suspicion from others, about this many check it.
 SUSPICION_CHECKERS = 32
+# The other members check it when it has lasted for this share of the time to refute.
+LATE_CHECK_SHARE = 1 / 3
 MAX_CHECKS_PER_PERIOD = 32
 MAX_CONTACTS_PER_PERIOD = 4
 MAX_LEAVING_PINGS = 64
@@ -438,12 +440,19 @@
         return []
 
     def _check_suspects(self, now_s: float, rng: Random) -> list[Send]:
-        names = [vm for vm, record in self._view.suspects.items() if record.is_checker]
+        """Ping suspects, so that each view gives them a chance of its own to refute.
+
+        A refutation that travels by gossip may reach a large fleet later than the suspicion runs.
+        """
+        suspects = self._view.suspects
+        late_s = now_s - LATE_CHECK_SHARE * self.suspicion_s
+        names = [vm for vm, r in suspects.items() if r.is_checker or r.suspect_since_s <= late_s]
         if len(names) > MAX_CHECKS_PER_PERIOD:
             names = rng.sample(names, MAX_CHECKS_PER_PERIOD)
-        direct = [self._ping(vm, now_s) for vm in names]
-        indirect = [self._ping_through_others(vm, now_s, rng) for vm in names[:INDIRECT_PINGS]]
-        return sum(indirect, direct)
+        sends = [self._ping(vm, now_s) for vm in names]
+        for vm in [vm for vm in names if suspects[vm].is_checker][:INDIRECT_PINGS]:
+            sends += self._ping_through_others(vm, now_s, rng)
+        return sends
 
     def _reconnect(self, now_s: float, rng: Random) -> list[Send]:
         """Ping one VM that is not a member, which ends a partition without outside help."""
--- a/mulberryswitch/vms/tests/test_membership.py
+++ b/mulberryswitch/vms/tests/test_membership.py
@@ -237,6 +237,17 @@
         tell(self.node, make_update(2, incarnation=4))
         self.assertEqual(state_of(self.node, 2), MemberState.ALIVE)
 
+    def test_suspicion_by_others_is_checked_before_it_ends(self):
+        """Gossip of a refutation may be slower than the suspicion in a large fleet."""
+        for index in range(1, 400):
+            tell(self.node, make_update(index))
+        answers = tell(self.node, make_update(2, state=MemberState.SUSPECT))
+        self.assertEqual(len(answers), 1, "few members check at once")
+        for now_s in (START_S, START_S + 0.6, START_S + 1.2):
+            sends = self.node.decide_tick(now_s=now_s, rng=Random(1))
+            checked = make_entry(2).address in {send.address for send in sends}
+            self.assertEqual(checked, now_s > START_S)
+
     def test_newcomer_is_told_recent_changes(self):
         tell(self.node)
         tell(self.node, make_update(2, state=MemberState.DEAD))
