Keep the suspicion of a listed member when others know its incarnation

With 256 members one of five kills was seen only after 5.75 s. Soon after a common start most views know a VM from the list only, with incarnation 0. A suspicion at that incarnation ended as soon as any message repeated the VM's real one, although that was older than the missed ping. The suspicion now takes over the incarnation and goes on.

--- a/mulberryswitch/vms/_membership.py
+++ b/mulberryswitch/vms/_membership.py
@@ -259,6 +259,9 @@
             return self._view.apply_death_report(update, now_s=now_s)
         if not self._view.is_news(update):
             return False
+        if record is not None and record.is_listed_only and record.suspect_since_s is not None:
+            self._view.apply_incarnation(update)
+            return True
         self._view.apply_member(build_member(update), now_s=now_s)
         self._contacts.pop(update.vm, None)
         return is_checker and update.state == MemberState.SUSPECT
--- a/mulberryswitch/vms/_view.py
+++ b/mulberryswitch/vms/_view.py
@@ -193,6 +193,17 @@
             self._show(record.member)
             self.queue.apply(build_update(record.member))
 
+    def apply_incarnation(self, update: MemberUpdate) -> None:
+        """Give a suspect from the platform's list the incarnation that others know.
+
+        The suspicion goes on: hearsay that the VM was alive is older than the missed ping.
+        """
+        record = self.records[update.vm]
+        record.member = replace(build_member(update), state=MemberState.SUSPECT)
+        record.is_listed_only = False
+        self._show(record.member)
+        self.queue.apply(build_update(record.member))
+
     def apply_heard(self, vm: str, *, now_s: float) -> None:
         """Note that `vm` was heard; only a suspect has to refute with a higher incarnation."""
         record = self.records.get(vm)
--- a/mulberryswitch/vms/tests/test_membership.py
+++ b/mulberryswitch/vms/tests/test_membership.py
@@ -248,6 +248,18 @@
             checked = make_entry(2).address in {send.address for send in sends}
             self.assertEqual(checked, now_s > START_S)
 
+    def test_hearsay_does_not_end_the_suspicion_of_a_listed_vm(self):
+        """Soon after a common start most views know a killed VM by the list only."""
+        self.node.observe_list(entries=[make_entry(1), make_entry(2)], now_s=START_S)
+        self.node.decide_tick(now_s=START_S, rng=Random(1))
+        self.node.observe_link_lost(vm="vm-2", now_s=START_S)
+        tell(self.node, make_update(2, incarnation=7))
+        self.assertEqual(state_of(self.node, 2), MemberState.SUSPECT)
+        for now_s in (START_S + 0.8, START_S + 1.5):
+            self.node.decide_tick(now_s=now_s, rng=Random(1))
+        self.assertEqual(self.node.members["vm-2"].incarnation, 7)
+        self.assertEqual(state_of(self.node, 2), MemberState.DEAD)
+
     def test_newcomer_is_told_recent_changes(self):
         tell(self.node)
         tell(self.node, make_update(2, state=MemberState.DEAD))
