Bound the start and keep member choices between ticks

Cause: a peer that kept announcing a document without delivering it blocked a starting VM without end, and readers and peers were chosen anew from the whole view at every tick. Ruled out: dropping the wait for an announced document, because a stale platform would then win. Before: no platform document accepted as long as announces arrived. After: at most 5 s. Conclusion: a start ends with a configuration whenever the platform or one peer delivers it.

--- a/mulberryswitch/configuration/_exchange.py
+++ b/mulberryswitch/configuration/_exchange.py
@@ -33,6 +33,8 @@
 # Anti-entropy repairs lost announces; two announces per period cost about 20 bytes a second.
 REPAIR_S = 3.0
 ASK_S = 1.0
+# Peers that announce a document but cannot deliver it do not block a start for longer.
+MAX_START_S = 5.0
 # A starting VM asks more peers than an announce reaches, because the newest version may have
 # reached only a part of the fleet.
 ASK_NEAR = 6
@@ -92,6 +94,13 @@
         Name and zone of this VM.
     store : ConfigStore
         Configuration of this VM; only the exchange offers documents to it.
+
+    Attributes
+    ----------
+    is_reader : bool
+        Whether this VM watches the platform for its zone.
+    mismatch_count : int
+        Peers' documents and deltas that did not have the announced digest.
     """
 
     def __init__(self, *, vm: str, zone: str, store: ConfigStore):
@@ -99,7 +108,9 @@
         self.zone = zone
         self.store = store
         self.mismatch_count = 0
-        self._members: tuple[Member, ...] = ()
+        self.is_reader = False
+        self._near: list[str] = []
+        self._far: list[str] = []
         self._reads = PlatformReads()
         self._history = History()
         self._held: _PlatformDocument | None = None
@@ -118,15 +129,15 @@
         """Bytes of the documents and deltas that are kept for peers."""
         return self._history.size_bytes
 
-    @property
-    def is_reader(self) -> bool:
-        """Whether this VM watches the platform for its zone."""
-        live = [m for m in self._members if m.state is MemberState.ALIVE]
-        return any(m.vm == self.vm for m in pick_readers(zone=self.zone, members=live))
-
     def observe_members(self, *, members: Sequence[Member], now_s: float) -> None:
         """Take in the membership view."""
-        self._members = tuple(members)
+        live = [member for member in members if member.state is MemberState.ALIVE]
+        readers = pick_readers(zone=self.zone, members=live)
+        self.is_reader = any(member.vm == self.vm for member in readers)
+        usable = (MemberState.ALIVE, MemberState.LEAVING)
+        peers = [m for m in members if m.vm != self.vm and m.state in usable]
+        self._near = [member.vm for member in peers if member.zone == self.zone]
+        self._far = [member.vm for member in peers if member.zone != self.zone]
 
     def may_accept_platform(self, *, now_s: float) -> bool:
         """Return whether a document of the platform may be accepted now.
@@ -136,8 +147,10 @@
         """
         if self.store.sheet is not None:
             return True
-        asked = self._asked_s is not None and now_s - self._asked_s >= ASK_S
-        return asked and self._pull is None
+        if self._asked_s is None:
+            return False
+        waited_s = now_s - self._asked_s
+        return waited_s >= MAX_START_S or (waited_s >= ASK_S and self._pull is None)
 
     def observe_platform(self, *, document: bytes, version: int, now_s: float) -> Offer | None:
         """Take in a document of the platform; return None while it waits for peers' answers."""
@@ -185,7 +198,7 @@
                 sequence=store.tombstones.sequence,
             )
         )
-        spread = math.ceil(math.log(len(self._members) + 1) / FANOUT)
+        spread = math.ceil(math.log(len(self._near) + len(self._far) + 1) / FANOUT)
         self._rounds = min(MAX_ROUNDS, spread + SPARE_ROUNDS)
         if self._pull is not None and self._pull.key <= store.key:
             self._pull = None
@@ -300,15 +313,11 @@
         return document if compute_digest(document) == message.digest else None
 
     def _pick_peers(self, rng: Random, near_count: int, far_count: int) -> list[str]:
-        usable = (MemberState.ALIVE, MemberState.LEAVING)
-        peers = [m for m in self._members if m.vm != self.vm and m.state in usable]
-        near = [m.vm for m in peers if m.zone == self.zone]
-        far = [m.vm for m in peers if m.zone != self.zone]
         # Places that one side cannot fill go to the other.
         total = near_count + far_count
-        far_count = min(len(far), max(far_count, total - len(near)))
-        near_count = min(len(near), total - far_count)
-        return rng.sample(near, near_count) + rng.sample(far, far_count)
+        far_count = min(len(self._far), max(far_count, total - len(self._near)))
+        near_count = min(len(self._near), total - far_count)
+        return rng.sample(self._near, near_count) + rng.sample(self._far, far_count)
 
     def decide_tick(self, *, now_s: float, rng: Random) -> list[Outgoing]:
         """Return the messages that are due; meant to be called every `TICK_S` seconds."""
