--- a/mulberryswitch/routing/_entry.py
+++ b/mulberryswitch/routing/_entry.py
@@ -82,6 +82,9 @@
         self._serving = ""
         self._asked_others = False
         self._ask_until_s = 0.0
+        self._taken_s = 0.0
+        # Highest number of any stream: a new stream to the same VM must not seem a repetition.
+        self._sequence = 0
         self._sent_counts: tuple[int, ...] = ()
         self._counted_s = 0.0
         self._until_s = 0.0
@@ -120,8 +123,11 @@
             # The successor sent its own changes here before it was lost.
             return self._take_over(now_s)
         if self.owns:
+            # A VM that was cut off may hold a copy from an owner on its side, and just after the
+            # takeover all standbys of an outdated view may have been dead.
+            if now_s - self._taken_s < OWNER_WAIT_S:
+                appeared |= set(view.standbys) - self.streams.keys()
             self._set_owner()
-            # A VM that was cut off may hold a copy from an owner on its side.
             self._asked = set(view.standbys) & appeared
             self._ask_until_s = now_s + STATE_WAIT_S
             return []
@@ -245,6 +251,7 @@
 
     def _take_over(self, now_s: float) -> list[Outgoing]:
         """Serve from the copies held; the newest base counts, and the pins of all copies."""
+        self._taken_s = now_s
         former = self.replicas.get(self.view.former)
         ready = [replica for replica in self.replicas.values() if replica.usable]
         ready.sort(
@@ -316,7 +323,8 @@
 
     def _tick_waiting(self, now_s: float) -> list[Outgoing]:
         if now_s < self._until_s:
-            return self._ask(self._asked)
+            late = self._asked and now_s >= self._until_s - STATE_WAIT_S / 2
+            return (late and self._ask_others(now_s)) or self._ask(self._asked)
         if self._serving and now_s < self._give_up_s:
             self._until_s = now_s + STATE_WAIT_S
             return self._ask([self._serving])
@@ -326,6 +334,7 @@
         served = any(r.role is not ShardRole.COPY for r in self.replicas.values())
         if self._has_copy and (served or not self.flows.base):
             return self._take_over(now_s)
+        self._taken_s = now_s
         fleet_is_new = not self._asked and not self.flows.base
         self.flows.apply_start(fleet_is_new=fleet_is_new, now_s=now_s)
         self._set_owner()
@@ -392,14 +401,17 @@
         # The asking VM's own stream may be the newest, so the pins of all copies are sent.
         pins = {flow: target for copy in ready for flow, target in copy.pins.items()}
         replica = ready[-1] if ready else Replica()
-        states = StateStream(vm=vm, role=ShardRole.COPY).apply_full(
+        stream = StateStream(vm=vm, role=ShardRole.COPY)
+        states = stream.apply_full(
             service=self.flows.service,
             shard=self.flows.shard,
             base=replica.base,
             pins=[Pin(flow=flow, target=target) for flow, target in pins.items()],
             counts=tuple(replica.counts.get(name, 0) for name in replica.base),
+            after=self._sequence,
             now_s=now_s,
         )
+        self._sequence = max(self._sequence, stream.sequence)
         return [Outgoing(vm=vm, message=state) for state in states]
 
     def _send_full(self, stream: StateStream, now_s: float) -> list[Outgoing]:
@@ -411,8 +423,10 @@
             base=base,
             pins=flows.list_pins(everything=stream.everything),
             counts=tuple(map(flows.count, base)),
+            after=self._sequence,
             now_s=now_s,
         )
+        self._sequence = max(self._sequence, stream.sequence)
         return [Outgoing(vm=stream.vm, message=state) for state in states]
 
     def _send_due(self, now_s: float) -> list[Outgoing]:
@@ -438,5 +452,6 @@
                     counts=counts,
                     now_s=now_s,
                 )
+                self._sequence = max(self._sequence, stream.sequence)
             outgoing += [Outgoing(vm=stream.vm, message=state) for state in states]
         return outgoing
--- a/mulberryswitch/routing/_router.py
+++ b/mulberryswitch/routing/_router.py
@@ -70,7 +70,7 @@
 class Router:
     """Routes of one VM.
 
-    Owners are cached per version of the members and of the sheet.
+    Owners are cached as long as the sheet is the same object and the members have the same version.
 
     Parameters
     ----------
@@ -84,7 +84,8 @@
         self.vm = vm
         self.zone = zone
         self.shards = shards
-        self._cached_for: tuple | None = None
+        self._sheet: Sheet | None = None
+        self._members_version = -1
         self._flow_owners: dict[tuple[str, int], str] = {}
         self._dispatchers: dict[str, str] = {}
 
@@ -191,11 +192,11 @@
         return Drop(reason="no owner within the hop limit")
 
     def _check_cache(self, sheet: Sheet, members_version: int) -> None:
-        version = (members_version, sheet.version, sheet.digest)
-        if version != self._cached_for:
-            self._cached_for = version
-            self._flow_owners.clear()
-            self._dispatchers.clear()
+        if sheet is self._sheet and members_version == self._members_version:
+            return
+        self._sheet, self._members_version = sheet, members_version
+        self._flow_owners.clear()
+        self._dispatchers.clear()
 
     def _flow_server(
         self, service: str, shard: int, sheet: Sheet, members: Sequence[Member]
--- a/mulberryswitch/routing/_streams.py
+++ b/mulberryswitch/routing/_streams.py
@@ -90,7 +90,7 @@
         self.needs_full = True
         self.everything = False
         self.unacked: list[ShardState] = []
-        self._sequence = 0
+        self.sequence = 0
         self._sent_s = 0.0
         self._wait_s = RESEND_S
         self._max_unacked = MAX_UNACKED
@@ -108,11 +108,12 @@
         base: tuple[str, ...],
         pins: Sequence[Pin],
         counts: tuple[int, ...],
+        after: int,
         now_s: float,
     ) -> list[ShardState]:
-        """Restart the stream with a full state and return its messages."""
-        # Numbers from the clock keep rising when the owner restarts or the stream is rebuilt.
-        sequence = max(self._sequence + 1, int(now_s * 1000))
+        """Restart the stream with a full state, numbered from above `after`."""
+        # Numbers from the clock keep rising when the owner restarts.
+        sequence = max(after, self.sequence, int(now_s * 1000)) + 1
         states = split_state(
             service=service,
             shard=shard,
@@ -122,7 +123,7 @@
             counts=counts,
             role=self.role,
         )
-        self._sequence = states[-1].sequence
+        self.sequence = states[-1].sequence
         self.needs_full = False
         self.unacked = list(states)
         self._max_unacked = MAX_UNACKED + len(states)
@@ -144,11 +145,11 @@
             return []
         states = []
         for part in split_pins(pins):
-            self._sequence += 1
+            self.sequence += 1
             state = ShardState(
                 service=service,
                 shard=shard,
-                sequence=self._sequence,
+                sequence=self.sequence,
                 full=False,
                 base=(),
                 pins=part,
--- a/mulberryswitch/routing/tests/builders.py
+++ b/mulberryswitch/routing/tests/builders.py
@@ -112,6 +112,7 @@
         self.observes: Callable[[Outgoing], None] = lambda outgoing: None
         self.blocked: set[tuple[str, str]] = set()
         self.paused: set[str] = set()
+        self.hops = 0
         self._view_number = 0
         for member in members:
             self.start(member, sheet, members)
@@ -206,6 +207,7 @@
                 return "", None
             if not self.reaches(vm, route.vm) or route.vm in self.paused:
                 return "", None
+            self.hops += 1
             vm, forward = route.vm, route.forward
             route = self.routers[vm].decide_forwarded(forward=forward, **self.view_of(vm))
 
--- a/mulberryswitch/routing/tests/test_replication.py
+++ b/mulberryswitch/routing/tests/test_replication.py
@@ -2,10 +2,18 @@
 
 import unittest
 
-from mulberryswitch.contracts import PEER_CODEC, ResultCode
+from mulberryswitch.contracts import PEER_CODEC, PacketKind, ResultCode
 from mulberryswitch.routing import shard_of
 
-from .builders import SERVICE, Network, make_flows, make_members, make_sheet, make_targets
+from .builders import (
+    SERVICE,
+    Network,
+    make_flows,
+    make_members,
+    make_sheet,
+    make_target,
+    make_targets,
+)
 
 
 class ReplicationTest(unittest.TestCase):
@@ -88,6 +96,36 @@
         self.assertTrue(shards.handover_done(now_s=self.net.now_s))
         self.assertEqual(self.resolve(opened), opened)
 
+    def test_partition_heals(self):
+        """Guards against losing the pins of the side that is no longer owner."""
+        sides = [[m for m in self.members if (m.zone == "north") == near] for near in (1, 0)]
+        self.net.blocked = {(a.vm, b.vm) for s in (0, 1) for a in sides[s] for b in sides[1 - s]}
+        leaving = make_target("feeds-6", state="leaving")
+        sheet = make_sheet({SERVICE: (*make_targets(6), leaving)}, version=2)
+        opened = {}
+        for number, side in enumerate(sides):
+            for member in side:
+                self.net.apply_sheet(member.vm, sheet)
+                self.net.apply_view(member.vm, tuple(side))
+            self.net.run(2)
+            for flow in make_flows(500, prefix=f"side-{number}"):
+                opened[flow] = self.net.route(side[0].vm, flow, PacketKind.OPEN)[1]
+        self.net.run(2)
+        self.net.blocked = set()
+        self.net.set_members(self.members)
+        self.net.run(4)
+        self.assertEqual(self.resolve(opened), opened)
+
+    def test_handover_in_the_same_millisecond_as_an_answer(self):
+        """Guards against a handover that passes for a repeated message and is not served."""
+        joined = make_members(9)
+        for member in joined[6:]:
+            self.net.start(member, self.sheet, joined)
+        self.net.deliver()
+        self.net.set_members(joined)
+        waiting = [vm for vm, s in self.net.vms.items() if s.counters().shards_waiting]
+        self.assertEqual(waiting, [])
+
     def test_messages_stay_below_the_limit(self):
         """Guards against a state that no peer accepts because it is too large."""
         sizes = []
