Size the reserve for short work by the total load

Cause: while long work waited, the reserve shrank to 0.5 slots above the mean short load, and long work waits in ordinary bursts as well.

The reserve now shrinks only when the total load, arrivals times the mean run time of many requests, leaves no more.

--- a/mulberryswitch/requests/_classes.py
+++ b/mulberryswitch/requests/_classes.py
@@ -16,6 +16,8 @@
 SHARE_WEIGHT = 0.1
 # A wait behind n requests is estimated as n times the mean, so the mean needs many samples.
 MEAN_WEIGHT = 0.005
+# With 2% long work, 5,000 requests hold about 100 long ones.
+MEAN_ALL_WEIGHT = 0.0002
 MAX_KINDS = 4096
 
 
@@ -35,6 +37,7 @@
         self._until_median = 1
         self.median_s = 0.0
         self._runs = {False: 0, True: 0}
+        self.mean_all_s = 0.0
         self.mean_s = {False: 0.0, True: 0.0}
 
     @staticmethod
@@ -66,6 +69,8 @@
         self._runs[long_run] += 1
         weight = max(MEAN_WEIGHT, 1.0 / self._runs[long_run])
         self.mean_s[long_run] += (elapsed_s - self.mean_s[long_run]) * weight
+        weight = max(MEAN_ALL_WEIGHT, 1.0 / sum(self._runs.values()))
+        self.mean_all_s += (elapsed_s - self.mean_all_s) * weight
         if not counted:
             self._observe_share(kind, long_run)
 
--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -348,8 +348,7 @@
         record.is_long = self.classifier.is_long(record.kind)
         self.counters["requests"] += 1
         self.budget.observe_request()
-        if not record.is_long:
-            self._observe_short(record, now_s)
+        self._observe_load(record, now_s)
         code = self._check_proof(forward, proven, now_s) or self._check_room(record, now_s)
         if code:
             self._conclude(record, code, now_s, queued=False)
@@ -365,10 +364,10 @@
             self._timers = [timer for timer in self._timers if timer[2].is_open]
             heapq.heapify(self._timers)
 
-    def _observe_short(self, record: Record, now_s: float) -> None:
-        self._long_share.observe_short(now_s)
+    def _observe_load(self, record: Record, now_s: float) -> None:
+        self._long_share.observe_request(record.is_long, now_s)
         state = self.slots.get(record.forward.pinned)
-        if state is not None:
+        if state is not None and not record.is_long:
             state.pinned_short_s = now_s
 
     def _check_proof(self, forward: Forward, proven: bool, now_s: float) -> int:
