--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -233,6 +233,8 @@
             self._observe_long_run(record, now_s)
         self._apply_link_wait(now_s)
         self.records.apply_expiry(now_s)
+        self.counters["evicted"] = self.records.evicted
+        self.counters["ejections"] = self.slots.ejections
         return self._decide_all(now_s)
 
     def apply_handover(self, now_s: float) -> list[Forward]:
