Give no receipt to an attached retry that skipped an attempt

A retry that attaches to a queued request was refused together with it and got a receipt. If it had skipped an attempt, that attempt may have run at another dispatcher, and the receipt would have let the next one run as well. Such a retry now gets 202, and the record is unknown.

The new test fails without the change: the retry was told 111 with a receipt.

--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -416,6 +416,9 @@
             self._outcomes.tell(record, waiter, ResultCode.NO_PROOF)
             return
         packet = waiter.forward.packet
+        # A skipped attempt may have run at another dispatcher.
+        follows = attempt == record.attempt + 1 and record.waiters[-1].proven
+        waiter.proven = packet.idempotent or follows or has_receipt(self.signer, waiter.forward)
         record.attempt = attempt
         record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
         if record.sent_pieces and record.pieces is None:
@@ -567,6 +570,9 @@
         else:
             record.state = RecordState.REFUSED if is_refusal(code) else RecordState.UNKNOWN
         for waiter in record.waiters:
-            self._outcomes.tell(record, waiter, code)
+            unproven = is_refusal(code) and not waiter.proven
+            self._outcomes.tell(record, waiter, ResultCode.NO_PROOF if unproven else code)
+            if unproven:
+                record.state = RecordState.UNKNOWN
         record.waiters = []
         self.records.apply_finished(record, now_s)
--- a/mulberryswitch/requests/_records.py
+++ b/mulberryswitch/requests/_records.py
@@ -46,10 +46,14 @@
 
 @dataclass(slots=True)
 class Waiter:
-    """An attempt that waits for the outcome and the entry VMs that forwarded it."""
+    """An attempt that waits for the outcome and the entry VMs that forwarded it.
+
+    `proven` states that no earlier attempt can have run elsewhere.
+    """
 
     forward: Forward
     entry_vms: list[str]
+    proven: bool = True
 
     @property
     def attempt(self) -> int:
--- a/mulberryswitch/requests/tests/test_dispatcher.py
+++ b/mulberryswitch/requests/tests/test_dispatcher.py
@@ -114,6 +114,16 @@
         actions = self.dispatcher.observe_request(build_forward(2, attempt=3), 0.2)
         self.assertEqual(codes(actions), [ResultCode.NO_PROOF])
 
+    def test_attached_retry_that_skips_an_attempt_is_not_refused(self):
+        """Attempt 2 may have run elsewhere, so the refusal of attempt 1 is no proof for 3."""
+        first, third = build_forward(2), build_forward(2, attempt=3)
+        self.dispatcher.observe_request(first, 0.1)
+        self.dispatcher.observe_request(third, 0.2)
+        actions = self.dispatcher.observe_cancel(third, 0.3)
+        self.assertEqual(codes(actions), [ResultCode.CANCELLED, ResultCode.NO_PROOF])
+        actions = self.dispatcher.observe_request(build_forward(2, attempt=4), 0.4)
+        self.assertEqual(codes(actions), [ResultCode.NO_PROOF])
+
     def test_copy_of_an_earlier_attempt_is_fenced_despite_its_receipt(self):
         """The refusal of attempt 3 says that attempt 2 was not run, so it must not run later."""
         receipts = [SIGNER.sign(SERVICE, b"f", 2, attempt) for attempt in (1, 2)]
