--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -233,6 +233,8 @@
             self._observe_long_run(record, now_s)
         self._apply_link_wait(now_s)
         self.records.apply_expiry(now_s)
+        self.counters["evicted"] = self.records.evicted
+        self.counters["ejections"] = self.slots.ejections
         return self._decide_all(now_s)
 
     def apply_handover(self, now_s: float) -> list[Forward]:
@@ -350,8 +352,7 @@
         record.is_long = self.classifier.is_long(record.kind)
         self.counters["requests"] += 1
         self.budget.observe_request()
-        if not record.is_long:
-            self._observe_short(record, now_s)
+        self._observe_load(record, now_s)
         code = self._check_proof(forward, proven, now_s) or self._check_room(record, now_s)
         if code:
             self._conclude(record, code, now_s, queued=False)
@@ -367,10 +368,10 @@
             self._timers = [timer for timer in self._timers if timer[2].is_open]
             heapq.heapify(self._timers)
 
-    def _observe_short(self, record: Record, now_s: float) -> None:
-        self._long_share.observe_short(now_s)
+    def _observe_load(self, record: Record, now_s: float) -> None:
+        self._long_share.observe_request(record.is_long, now_s)
         state = self.slots.get(record.forward.pinned)
-        if state is not None:
+        if state is not None and not record.is_long:
             state.pinned_short_s = now_s
 
     def _check_proof(self, forward: Forward, proven: bool, now_s: float) -> int:
@@ -417,6 +418,9 @@
             self._outcomes.tell(record, waiter, ResultCode.NO_PROOF)
             return
         packet = waiter.forward.packet
+        # A skipped attempt may have run at another dispatcher.
+        follows = attempt == record.attempt + 1 and record.waiters[-1].proven
+        waiter.proven = packet.idempotent or follows or has_receipt(self.signer, waiter.forward)
         record.attempt = attempt
         record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
         if record.sent_pieces and record.pieces is None:
@@ -571,6 +575,9 @@
         else:
             record.state = RecordState.REFUSED if is_refusal(code) else RecordState.UNKNOWN
         for waiter in record.waiters:
-            self._outcomes.tell(record, waiter, code)
+            unproven = is_refusal(code) and not waiter.proven
+            self._outcomes.tell(record, waiter, ResultCode.NO_PROOF if unproven else code)
+            if unproven:
+                record.state = RecordState.UNKNOWN
         record.waiters = []
         self.records.apply_finished(record, now_s)
