--- a/mulberryswitch/contracts/_codec.py
+++ b/mulberryswitch/contracts/_codec.py
@@ -5,6 +5,7 @@
 import types
 from collections.abc import Callable, Mapping
 from dataclasses import fields, is_dataclass
+from operator import attrgetter
 from typing import Any, get_args, get_origin, get_type_hints
 
 import msgpack
@@ -15,6 +16,7 @@
 
 MAX_INTEGER = 2**63 - 1
 MAX_TEXT_CHARS = 4096
+SCALARS = (int, str, bytes, bool)
 
 
 class DecodeError(ValueError):
@@ -86,7 +88,8 @@
 def _build_record_unpacker(cls: type) -> Callable[[Any], Any]:
     hints = get_type_hints(cls)
     names = [field.name for field in fields(cls)]
-    unpackers = [_build_unpacker(hints[name]) for name in names]
+    kinds = [hints[name] for name in names]
+    unpackers = [_build_unpacker(kind) for kind in kinds]
     count = len(names)
 
     def unpack(value: Any) -> Any:
@@ -95,24 +98,57 @@
         checked = {n: fn(v) for n, fn, v in zip(names, unpackers, value, strict=True)}
         return cls(**checked)
 
-    return unpack
-
-
-def _pack_value(value: Any) -> Any:
-    if is_dataclass(value):
-        return [_pack_value(getattr(value, field.name)) for field in fields(value)]
-    if isinstance(value, tuple):
-        return [_pack_value(item) for item in value]
-    return value
+    if not all(kind in SCALARS for kind in kinds):
+        return unpack
+    ints = [index for index, kind in enumerate(kinds) if kind is int]
+    texts = [index for index, kind in enumerate(kinds) if kind is str]
+
+    def unpack_scalars(value: Any) -> Any:
+        # One comparison of all types replaces a call per field on the packet path; the general
+        # function names the wrong field.
+        if (
+            type(value) is not list
+            or [*map(type, value)] != kinds
+            or (ints and not min(numbers := [value[index] for index in ints]) >= 0)
+            or (ints and max(numbers) > MAX_INTEGER)
+            or (texts and max([len(value[index]) for index in texts]) > MAX_TEXT_CHARS)
+        ):
+            return unpack(value)
+        return cls(**dict(zip(names, value, strict=True)))
+
+    return unpack_scalars
+
+
+def _build_value_packer(kind: Any) -> Callable[[Any], Any] | None:
+    """Return a function that converts a value of type `kind`; None if none is needed."""
+    if is_dataclass(kind):
+        return _build_packer(kind)
+    if get_origin(kind) is not tuple:
+        return None
+    args = [arg for arg in get_args(kind) if arg is not Ellipsis]
+    pack_item = _build_value_packer(args[0])
+    if pack_item is None:
+        return None
+    return lambda value: [pack_item(item) for item in value]
 
 
 def _build_packer(cls: type) -> Callable[[Any], list]:
     hints = get_type_hints(cls)
     names = [field.name for field in fields(cls)]
-    # Records of scalars are the packet path; they skip the recursive conversion.
-    if all(hints[name] in (int, str, bytes, bool) for name in names):
-        return lambda message: [getattr(message, name) for name in names]
-    return _pack_value
+    read = attrgetter(*names) if len(names) > 1 else lambda message: (getattr(message, names[0]),)
+    packers = [
+        (index, packer)
+        for index, packer in enumerate(_build_value_packer(hints[name]) for name in names)
+        if packer is not None
+    ]
+
+    def pack(message: Any) -> list:
+        values = list(read(message))
+        for index, packer in packers:
+            values[index] = packer(values[index])
+        return values
+
+    return pack
 
 
 class Codec:
