Exchange recent tombstones before whole tables

Cause: VMs that skip different versions record different first versions of a new address, which is normal when two versions come within a second. Each such difference made every VM pull the whole table, about 0.5 MB for 13,000 addresses. Ruled out: stopping the count of a lasting difference when a peer agrees; a VM meets agreeing peers all the time, and the state machine found tables that never became equal. Before: a whole table per VM and difference. After: with 501 addresses no message above 11,000 bytes, the size of the first document; whole tables only after 30 s without progress.

--- a/mulberryswitch/configuration/_exchange.py
+++ b/mulberryswitch/configuration/_exchange.py
@@ -32,6 +32,9 @@
 MAX_ROUNDS = 6
 # Anti-entropy repairs lost announces; two announces per period cost about 20 bytes a second.
 REPAIR_S = 3.0
+# VMs that skipped different versions differ in recent tombstones. The whole table, about 0.5 MB for
+# 13,000 addresses, is exchanged only when the recent ones did not help for this long.
+WHOLE_TABLE_S = 30.0
 ASK_S = 1.0
 # Peers that announce a document but cannot deliver it do not block a start for longer.
 MAX_START_S = 5.0
@@ -117,6 +120,8 @@
         self._refused_version = 0
         self._refused_read_due_s = float("-inf")
         self._refused_until_s: dict[tuple[int, bytes], float] = {}
+        self._differs_digest = b""
+        self._differs_since_s = self._differs_last_s = float("-inf")
         self._tombstone_pull_due_s = float("-inf")
         self._pull: _Pull | None = None
         self._rounds = 0
@@ -236,7 +241,7 @@
         if key < self.store.key:
             return [self._build_announce(sender_vm)]
         if key == self.store.key:
-            return self._decide_tombstone_pull(sender_vm, message, now_s)
+            return self._observe_tombstones(sender_vm, message, now_s)
         if self._refused_until_s.get(key, now_s) > now_s:
             return []
         pull = self._pull
@@ -247,14 +252,27 @@
         self._pull = _Pull(key=key, vm=sender_vm, sent_s=now_s)
         return [self._build_pull(sender_vm)]
 
-    def _decide_tombstone_pull(
+    def _observe_tombstones(
         self, sender_vm: str, message: ConfigAnnounce, now_s: float
     ) -> list[Outgoing]:
         mine = self.store.tombstones
-        if message.tombstones == mine.digest or mine.is_full or now_s < self._tombstone_pull_due_s:
+        if message.tombstones == mine.digest or mine.is_full:
+            return []
+        # A change of the own table is progress; an old difference was settled in between.
+        if mine.digest != self._differs_digest or now_s - self._differs_last_s > WHOLE_TABLE_S:
+            self._differs_since_s = now_s
+        self._differs_digest, self._differs_last_s = mine.digest, now_s
+        if now_s < self._tombstone_pull_due_s:
             return []
         self._tombstone_pull_due_s = now_s + REPAIR_S
-        return [self._build_pull(sender_vm)]
+        whole = now_s - self._differs_since_s >= WHOLE_TABLE_S
+        if whole:
+            self._differs_since_s = now_s
+        sent = self._history.build_tombstones(mine, whole=whole)
+        return [
+            *(Outgoing(vm=sender_vm, message=answer) for answer in sent),
+            self._build_pull(sender_vm, whole=whole),
+        ]
 
     def _observe_pull(self, sender_vm: str, message: ConfigPull) -> list[Outgoing]:
         key = (message.version, message.digest)
--- a/mulberryswitch/configuration/_history.py
+++ b/mulberryswitch/configuration/_history.py
@@ -57,19 +57,26 @@
             self._deltas[base.digest] = build_delta(base.document, latest.document)
         return self._deltas[base.digest]
 
+    def build_tombstones(self, tombstones: Tombstones, *, whole: bool) -> list[ConfigDocument]:
+        """Return all tombstones, or those that changed since the oldest kept document."""
+        changed = tombstones.read_since(0 if whole else self._kept[0].sequence)
+        return list(_build_messages(self._kept[-1], None, b"", changed))
+
     def build_answers(self, pull: ConfigPull, tombstones: Tombstones) -> list[ConfigDocument]:
         """Return the document in force for a peer, as a delta when that is shorter.
 
-        A peer that holds the same document gets all tombstones and no document.
+        A peer that holds the same document gets recent tombstones and no document.
         """
         latest = self._kept[-1]
         if (pull.version, pull.digest) == (latest.version, latest.digest):
-            return list(_build_messages(latest, None, b"", tombstones))
+            return self.build_tombstones(tombstones, whole=False)
         base = self.find(pull.version, pull.digest)
         delta = self._pick_delta(base, latest) if base else latest.document
         if base is None or len(delta) >= len(latest.document):
-            return list(_build_messages(latest, None, latest.document, tombstones))
-        return list(_build_messages(latest, base, delta, tombstones))
+            changed = tombstones.read_since(0)
+            return list(_build_messages(latest, None, latest.document, changed))
+        changed = tombstones.read_since(base.sequence)
+        return list(_build_messages(latest, base, delta, changed))
 
 
 def _split(items: list) -> Iterator[list]:
@@ -78,9 +85,8 @@
 
 
 def _build_messages(
-    latest: Kept, base: Kept | None, body: bytes, tombstones: Tombstones
+    latest: Kept, base: Kept | None, body: bytes, changed: list[tuple[str, str, int]]
 ) -> Iterator[ConfigDocument]:
-    changed = tombstones.read_since(base.sequence if base else 0)
     groups = list(_split(changed)) or [()]
     for index, group in enumerate(groups, start=1):
         last = index == len(groups)
--- a/mulberryswitch/configuration/tests/test_exchange.py
+++ b/mulberryswitch/configuration/tests/test_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from random import Random
 
-from mulberryswitch.configuration import Outgoing, pick_readers
+from mulberryswitch.configuration import Binding, Outgoing, pick_readers
 from mulberryswitch.configuration._document import compute_digest
 from mulberryswitch.contracts import (
     PEER_CODEC,
@@ -60,6 +60,38 @@
                 dict(node.store.tombstones), {"10.0.97.1:80": "a", "10.0.98.1:80": "b"}
             )
 
+    def test_skipped_versions_cost_no_whole_table(self):
+        """Guards against a table of 0.5 MB per VM whenever VMs skip different versions."""
+        addresses = [f"10.7.{i // 250}.{i % 250 + 1}:80" for i in range(500)]
+        fleet = build_fleet(6, build_document(build_service("a", *addresses)))
+        for vm, version in (("vm0", 2), ("vm0", 3), ("vm1", 3)):
+            changed = build_service("a", *addresses, "1.1.1.1:1", count=version)
+            fleet.publish(vm, build_document(changed), version)
+        sizes = []
+        for _ in range(80):
+            fleet.tick()
+            while fleet.messages:
+                sizes.append(len(PEER_CODEC.encode(fleet.messages[0][1].message)))
+                fleet.deliver()
+        digests = {node.store.tombstones.digest for node in fleet.nodes.values()}
+        self.assertEqual((len(digests), len(fleet.read_keys())), (1, 1))
+        self.assertLess(max(sizes), 11_000)
+
+    def test_whole_table_repairs_old_tombstones(self):
+        """Guards against VMs that never agree on an old binding of one address."""
+        fleet = build_fleet(4, build_document())
+        fleet.nodes["vm1"].store.merge_bindings(bindings={"1.1.1.1:1": Binding("a", 1)})
+        for version in range(2, 7):
+            document = build_document(build_service("a", count=version))
+            for vm in fleet.nodes:
+                fleet.publish(vm, document, version)
+        fleet.run(50)
+        bound = [node.store.tombstones.get("1.1.1.1:1") for node in fleet.nodes.values()]
+        self.assertIn(None, bound)
+        fleet.run(250)
+        bound = [node.store.tombstones.get("1.1.1.1:1") for node in fleet.nodes.values()]
+        self.assertEqual(set(bound), {"a"})
+
     def test_unanswered_pull_goes_to_the_next_source(self):
         """Guards against a VM that waits for a peer that died after its announce."""
         fleet = build_fleet(4, build_document())
--- a/mulberryswitch/contracts/_messages.py
+++ b/mulberryswitch/contracts/_messages.py
@@ -141,7 +141,7 @@
 class ConfigPull:
     """Ask for the accepted configuration; the sender holds (`version`, `digest`).
 
-    A receiver that holds the same configuration answers with its tombstones.
+    A receiver that holds the same configuration answers with its recent tombstones.
     """
 
     version: int
