--- a/mulberryswitch/configuration/tests/test_machine.py
+++ b/mulberryswitch/configuration/tests/test_machine.py
@@ -1,6 +1,5 @@
 """State machine over several exchanges under faults of the platform, the network and the VMs."""
 
-import unittest
 from random import Random
 
 from hypothesis import settings
@@ -25,7 +24,10 @@
 
 
 class ExchangeMachine(RuleBasedStateMachine):
-    """VMs of two zones, a platform with versions, and messages in flight."""
+    """VMs of two zones, a platform with versions, and messages in flight.
+
+    Guards against reverts, split content and moved addresses under combined faults.
+    """
 
     def __init__(self):
         super().__init__()
@@ -34,9 +36,6 @@
         self.floors = dict.fromkeys(self.fleet.nodes, (0, b""))
         self.settled: dict[str, dict[str, tuple[int, str]]] = {}
 
-    def get_node(self, index: int):
-        return self.fleet.nodes[f"vm{index}"]
-
     # The platform.
 
     def add_version(self, holders, count, step):
@@ -79,7 +78,7 @@
     @rule(index=vm_indexes)
     def fail_platform(self, index):
         """Fail a read."""
-        self.get_node(index).observe_platform_failure(now_s=self.fleet.now_s)
+        self.fleet.nodes[f"vm{index}"].observe_platform_failure(now_s=self.fleet.now_s)
 
     # The network and the VMs.
 
@@ -127,7 +126,7 @@
         reachable = [n for n in self.fleet.nodes.values() if self.fleet.can_reach(vm, n.vm)]
         if self.published:
             self.fleet.publish(vm, self.published[0][1], self.published[0][0])
-            assert self.get_node(index).store.version == 0, "platform read before peers answered"
+            assert self.fleet.nodes[vm].store.version == 0, "platform read before peers answered"
         self.fleet.messages.clear()
         self.fleet.tick(vms=[vm])
         self.fleet.deliver_all()
@@ -214,6 +213,4 @@
     derandomize=True, max_examples=40, stateful_step_count=40, deadline=None
 )
 
-
-class MachineTest(ExchangeMachine.TestCase, unittest.TestCase):
-    """Guards against reverts, split content and moved addresses under combined faults."""
+MachineTest = ExchangeMachine.TestCase
