Check refusals of idempotent requests without a deadline in the state machine

A trial of 2,000 random examples failed: an idempotent request without a deadline ran, its record expired, and a copy was refused. It now forgets such attempts when their record is gone and checks sends and refusals alike before that, so sends without a deadline are checked as well.

--- a/mulberryswitch/requests/tests/test_dispatcher_machine.py
+++ b/mulberryswitch/requests/tests/test_dispatcher_machine.py
@@ -42,6 +42,7 @@
     next_index: int = 0
     sent: bytes = b""
     shed: bool = False
+    forgotten: bool = False
 
 
 class DispatcherMachine(RuleBasedStateMachine):
@@ -221,10 +222,20 @@
         self.apply(self.dispatcher.observe_request(forward, self.now_s))
 
     def allow_after_expiry(self, key):
-        """Copies of a request whose record has expired may be told an outcome once more."""
-        if self.dispatcher.records.get(key) is None:
-            for name in [name for name in self.allowed if name[:2] == key]:
-                self.allowed[name] += 1
+        """Copies of a request whose record has expired may be told an outcome once more.
+
+        Without a deadline, an idempotent request is fenced only as long as its record exists.
+        """
+        if self.dispatcher.records.get(key) is not None:
+            return
+        for name in [name for name in self.allowed if name[:2] == key]:
+            self.allowed[name] += 1
+        packets = [f.packet for f in self.forwards if self.key_of(f) == key]
+        for packet in (p for p in packets if p.idempotent and not p.deadline_ms):
+            self.refused.discard((*key, packet.attempt))
+            for run in self.runs.values():
+                same = run.key == key and run.attempt == packet.attempt
+                run.forgotten = run.forgotten or same
 
     def apply(self, actions):
         for action in actions:
@@ -244,7 +255,7 @@
         run = Run(action.target, key, frame.attempt)
         self.runs[action.dispatch_id] = self.active[action.dispatch_id] = run
         assert sum(r.target == action.target for r in self.active.values()) <= SLOTS
-        assert (*key, frame.attempt) not in self.refused or not frame.deadline_ms
+        assert (*key, frame.attempt) not in self.refused
         if not frame.idempotent:
             assert sum(r.key == key and not r.shed for r in self.runs.values()) == 1
 
@@ -258,7 +269,7 @@
             idempotent = any(f.packet.idempotent for f in self.forwards if self.key_of(f) == key)
             for run in self.runs.values():
                 relevant = run.attempt == reply.attempt or not idempotent
-                assert not (run.key == key and relevant) or run.shed
+                assert not (run.key == key and relevant) or run.shed or run.forgotten
         if reply.kind == ReplyKind.ANSWER:
             self.check_piece(key, name, reply)
         if reply.kind != ReplyKind.ANSWER or reply.last:
