Caller waits for the result of its last attempt

The caller now waits until the deadline of its last attempt and 1 s more. A last attempt without any result makes the request lost, also when earlier attempts were refused, which is stricter than before. A test shows both cases.

--- a/standins/_requests.py
+++ b/standins/_requests.py
@@ -13,6 +13,8 @@
 
 __all__ = ["Outcome", "Request", "RequestPlan", "RetryPolicy"]
 
+RESULT_GRACE_S = 1.0  # a result that is told at the deadline still has to arrive
+
 
 class Outcome(StrEnum):
     """Final result of a request as its caller sees it."""
@@ -66,12 +68,13 @@
         self.codes: list[int] = []
         self.attempt = 0
         self.next_s = 0.0
+        self._sent_s = 0.0
         self._policy = policy
         self._rng = rng
         self._receipt = b""
         self._waiting = False
         self._may_have_run = False
-        self._answered_last = Outcome.LOST
+        self._last_result = Outcome.LOST
         self._pieces: dict[int, dict[int, bytes]] = defaultdict(dict)
         self._last_index: dict[int, int] = {}
 
@@ -83,13 +86,25 @@
             self._receipt = b""
             self._may_have_run = True
         if self.attempt >= self._policy.max_attempts:
-            self.outcome = self._answered_last
+            self._conclude(now_s)
             return None
         self.attempt += 1
+        self._sent_s = now_s
         self._waiting = True
         self.next_s = now_s + self._policy.attempt_timeout_s
         return self._build_packet(wall_s)
 
+    def _conclude(self, now_s: float) -> None:
+        """Set the outcome unless the last attempt may still get a result.
+
+        The result of an earlier attempt does not cover the last one, which may be running.
+        """
+        latest_s = self._sent_s + self._policy.deadline_s + RESULT_GRACE_S
+        if self._waiting and now_s < latest_s:
+            self.next_s = latest_s
+        else:
+            self.apply_end()
+
     def _build_packet(self, wall_s: float) -> Packet:
         plan = self.plan
         job = {
@@ -144,7 +159,7 @@
         # A refusal of an idempotent attempt says nothing about earlier attempts. A refusal of a
         # non-idempotent request is taken at its word, so that a false one is counted.
         ran = self.plan.idempotent and self._may_have_run
-        self._answered_last = Outcome.UNKNOWN if ran else Outcome.REFUSED_NOT_RUN
+        self._last_result = Outcome.UNKNOWN if ran else Outcome.REFUSED_NOT_RUN
         self._receipt = reply.receipt
         self._schedule_retry(now_s)
 
@@ -152,7 +167,7 @@
         if not self.plan.idempotent:
             self.outcome = Outcome.UNKNOWN
             return
-        self._answered_last = Outcome.UNKNOWN
+        self._last_result = Outcome.UNKNOWN
         self._may_have_run = True
         if reply.attempt == self.attempt and self._waiting:
             self._receipt = b""
@@ -164,5 +179,6 @@
         self.next_s = now_s + backoff_s * self._rng.uniform(0.5, 1.5)
 
     def apply_end(self) -> None:
-        """Set the outcome at the end of the run."""
-        self.outcome = self.outcome or self._answered_last
+        """Set the outcome; a request whose last attempt has no result is lost."""
+        if not self.outcome:
+            self.outcome = Outcome.LOST if self._waiting else self._last_result
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -228,7 +228,7 @@
             caller.add_flow(load, now_s + rng.uniform(0.0, flow_spread_s))
     await _load_until(caller, loads, now_s + section.getfloat("seconds"), stop)
     caller.apply_end()
-    await _tick_until(caller, time.monotonic() + section.getfloat("drain_s", 12.0), stop)
+    await _tick_until(caller, time.monotonic() + section.getfloat("drain_s", 16.0), stop)
     caller.finish()
 
 
--- a/standins/tests/test_answers.py
+++ b/standins/tests/test_answers.py
@@ -84,11 +84,18 @@
                 packet = req.decide_packet(2.0, 2.0)
                 self.assertEqual((packet.attempt, packet.receipt), (2, receipt))
 
-    def test_outcome_without_any_result_is_lost(self):
-        req = build_request(idempotent=False)
-        packets = [req.decide_packet(now_s, now_s) for now_s in (0.0, 2.0, 4.0)]
-        self.assertEqual([bool(packet) for packet in packets], [True, True, False])
-        self.assertEqual(req.outcome, Outcome.LOST)
+    def test_request_is_lost_when_its_last_attempt_has_no_result(self):
+        for refused in (False, True):
+            with self.subTest(refused=refused):
+                req = build_request(idempotent=False)
+                self.assertTrue(req.decide_packet(0.0, 0.0))
+                if refused:
+                    req.observe_reply(build_reply(ReplyKind.REFUSED, code=106), 0.1)
+                self.assertTrue(req.decide_packet(2.0, 2.0))
+                self.assertIsNone(req.decide_packet(5.9, 5.9))
+                self.assertIsNone(req.outcome)
+                self.assertIsNone(req.decide_packet(6.0, 6.0))
+                self.assertEqual(req.outcome, Outcome.LOST)
 
     def test_refused_retry_of_idempotent_request_is_not_reported_as_not_run(self):
         req = build_request(idempotent=True)
