--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,18 @@
+"""Run every benchmark beside its baselines: ``python -m benchmarks [NAME ...]``."""
+
+import importlib
+import sys
+
+NAMES = ("routing", "requests", "membership", "platform_timers", "configuration")
+
+
+def main() -> None:
+    """Run the benchmarks named on the command line, or all."""
+    for name in sys.argv[1:] or NAMES:
+        print(f"## {name}\n", flush=True)
+        importlib.import_module(f"benchmarks.{name}").main()
+        print(flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/mulberryswitch/contracts/_messages.py
+++ b/mulberryswitch/contracts/_messages.py
@@ -25,7 +25,6 @@
     "Ping",
     "PingRequest",
     "Pin",
-    "QueueHandover",
     "ShardAck",
     "ShardRole",
     "ShardState",
@@ -133,13 +132,6 @@
     missing: bool
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class QueueHandover:
-    """Requests that were never dispatched, handed to the dispatcher in charge."""
-
-    forwards: tuple[Forward, ...]
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigAnnounce:
     """The sender has accepted configuration (`version`, `digest`).
@@ -244,7 +236,6 @@
         4: Declined,
         5: ShardState,
         6: ShardAck,
-        7: QueueHandover,
         8: ConfigAnnounce,
         9: ConfigPull,
         10: ConfigDocument,
--- a/mulberryswitch/daemon/__init__.py
+++ b/mulberryswitch/daemon/__init__.py
@@ -3,6 +3,7 @@
 from ._core import NodeCore, NodeIdentity, Shutdown, Tick
 from ._flow_service import FlowService
 from ._node import Node, run_node
+from ._packet_service import PacketService
 from ._request_service import RequestService
 from ._status import build_explanation, build_gauges, build_holds, build_status
 from ._target_sessions import TargetSessions
@@ -13,6 +14,7 @@
     "Node",
     "NodeCore",
     "NodeIdentity",
+    "PacketService",
     "RequestService",
     "Shutdown",
     "TargetSessions",
--- a/mulberryswitch/daemon/_core.py
+++ b/mulberryswitch/daemon/_core.py
@@ -3,7 +3,7 @@
 import itertools
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -15,19 +15,12 @@
     ConfigDocument,
     ConfigPull,
     Declined,
-    DecodeError,
     Done,
     Forward,
     LeavingTargets,
     MemberState,
-    Packet,
-    PacketKind,
-    Reply,
-    ReplyKind,
-    ResultCode,
     ShardAck,
     ShardState,
-    check_packet,
 )
 from mulberryswitch.links import (
     ClosePeer,
@@ -54,18 +47,14 @@
 from mulberryswitch.observability import RecordHop, record_no_hop
 from mulberryswitch.requests import ReceiptSigner
 from mulberryswitch.routing import (
-    Drop,
     FlowShards,
-    ForwardTo,
-    RefuseLocally,
     Route,
     Router,
-    ServeFlow,
-    ServeRequest,
 )
 from mulberryswitch.vms import Membership, PauseDetector, Send
 
 from ._flow_service import FlowService
+from ._packet_service import PacketService
 from ._request_service import RequestService
 from ._target_sessions import TargetSessions
 from ._view import View, build_effective_sheet
@@ -80,7 +69,6 @@
 LEAVING_KEEP_S = 30.0
 MEMBER_TICK_S = 0.1
 SHARD_TICK_S = 0.1
-MAX_HELD = 10_000
 
 log = logging.getLogger("node")
 
@@ -142,7 +130,6 @@
         self.identity = identity
         self.rng = rng
         self.count = count
-        self.record_hop = record_hop
         self.is_leaving = False
         self.view = View(vm=identity.vm, zone=identity.zone)
         self.store = ConfigStore()
@@ -163,7 +150,7 @@
             router=self.router,
             sessions=self.sessions,
             emit=self._emit,
-            follow=self._follow,
+            follow=self._follow_route,
             count=count,
         )
         self.requests = RequestService(
@@ -175,11 +162,22 @@
             first_dispatch_id=identity.incarnation << 20,
             emit=self._emit,
             send_peer=self._send_peer,
-            forward_again=self._forward_again,
+            forward_again=self._route_again,
             count=count,
+            record_hop=record_hop,
+        )
+        self.packets = PacketService(
+            view=self.view,
+            router=self.router,
+            flows=self.flows,
+            requests=self.requests,
+            emit=self._emit,
+            send_peer=self._send_peer,
+            may_start_work=self._may_start_work,
+            count=count,
+            record_hop=record_hop,
         )
         self._effects: list[Any] = []
-        self._held: list[tuple[Route, Forward]] = []
         self._service_by_target: dict[str, str] = {}
         self._leaving_by_sender: dict[str, tuple[float, frozenset[str]]] = {}
         self._leaving_told: frozenset[str] = frozenset()
@@ -197,7 +195,7 @@
         match event:
             case FabricPackets():
                 for packet in event.packets:
-                    self._observe_packet(packet, now_s)
+                    self.packets.observe_packet(packet, now_s)
             case PeerMessages():
                 for message in event.messages:
                     self._observe_message(event.vm, message, now_s)
@@ -259,119 +257,16 @@
         log.warning("node: process was paused, new work is held until a peer answers")
         self._send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
         self._send_all(self.shards.decide_tick(now_s=now_s), now_s)
-        for forward in self.requests.apply_handover(list(self.requests.dispatchers), now_s):
-            self._held.append((ServeRequest(service=forward.service), forward))
-
-    # Packets
-
-    def _observe_packet(self, packet: Any, now_s: float) -> None:
-        try:
-            if not isinstance(packet, Packet):
-                raise DecodeError("not a caller's packet")
-            check_packet(packet)
-        except DecodeError:
-            self.count("packets_malformed", 1)
-            return
-        self.count("packets", 1)
-        if packet.trace:
-            attributes = {"kind": packet.kind, "address": packet.address}
-            packet = replace(packet, trace=self.record_hop("entry", packet.trace, attributes))
-        view = self.view
-        route = self.router.decide(
-            packet=packet,
-            sheet=view.sheet,
-            members=view.members,
-            members_version=view.members_version,
-            now_s=now_s,
-        )
-        if isinstance(route, ForwardTo):
-            self._follow(route, route.forward, now_s)
-            return
-        service = view.sheet.service_by_address.get(packet.address, "") if view.sheet else ""
-        forward = Forward(
-            packet=packet,
-            service=service,
-            version=view.sheet.version if view.sheet else 0,
-            hops=0,
-            entry_vm=view.vm,
-            entry_zone=view.zone,
+        self.packets.apply_hold(
+            self.requests.apply_handover(list(self.requests.dispatchers), now_s)
         )
-        self._follow(route, forward, now_s)
-
-    def _observe_forward(self, forward: Forward, now_s: float) -> None:
-        try:
-            packet = check_packet(forward.packet)
-        except DecodeError:
-            self.count("packets_malformed", 1)
-            return
-        if packet.trace:
-            trace = self.record_hop("owner", packet.trace, {"service": forward.service})
-            forward = replace(forward, packet=replace(packet, trace=trace))
-        self._route_forward(forward, now_s)
-
-    def _route_forward(self, forward: Forward, now_s: float) -> None:
-        route = self.router.decide_forwarded(
-            forward=forward,
-            sheet=self.view.sheet,
-            members=self.view.members,
-            members_version=self.view.members_version,
-            now_s=now_s,
-        )
-        self._follow(route, forward, now_s)
-
-    def _forward_again(self, forward: Forward, now_s: float) -> None:
-        self._route_forward(forward, now_s)
-
-    def _follow(self, route: Route, forward: Forward, now_s: float) -> None:
-        """Carry out a route of `forward`."""
-        match route:
-            case ServeFlow():
-                self.flows.apply_packet(forward, route.shard, now_s)
-            case ServeRequest():
-                self._serve_request(route, forward, now_s)
-            case ForwardTo():
-                self._forward(route, now_s)
-            case RefuseLocally():
-                self._refuse(forward, route.code, now_s)
-            case Drop():
-                self.count("packets_dropped", 1)
-
-    def _serve_request(self, route: ServeRequest, forward: Forward, now_s: float) -> None:
-        if not self._may_start_work(now_s):
-            if len(self._held) < MAX_HELD:
-                self._held.append((route, forward))
-            else:
-                self._refuse(forward, ResultCode.QUEUE_FULL, now_s)
-            return
-        self.requests.apply_request(forward, route.pinned, now_s)
-
-    def _may_start_work(self, now_s: float) -> bool:
-        has_peers = len(self.view.members) > 1
-        return self.pause.may_start_work(now_s=now_s, has_live_peers=has_peers)
-
-    def _forward(self, route: ForwardTo, now_s: float) -> None:
-        forward = route.forward
-        if forward.packet.kind in (PacketKind.REQUEST, PacketKind.CANCEL):
-            self.requests.apply_forward(route.vm, forward, now_s)
-        else:
-            self._send_peer(route.vm, forward, now_s)
-
-    def _refuse(self, forward: Forward, code: int, now_s: float) -> None:
-        packet = forward.packet
-        if packet.kind == PacketKind.REQUEST:
-            self.requests.apply_refusal(forward, code, now_s)
-        elif packet.kind == PacketKind.OPEN:
-            reply = Reply(kind=ReplyKind.REFUSED, flow=packet.flow, code=code)
-            self._emit(ToFabric(message=reply))
-        else:
-            self.count("packets_dropped", 1)
 
     # Peers
 
     def _observe_message(self, vm: str, message: Any, now_s: float) -> None:
         match message:
             case Forward():
-                self._observe_forward(message, now_s)
+                self.packets.observe_forward(message, now_s)
             case Done():
                 self.requests.observe_done(message, now_s)
             case Declined():
@@ -486,9 +381,8 @@
             self._read_platform(now_s)
         if self._is_due("announce", ANNOUNCE_PERIOD_S, now_s):
             self._announce()
-        if self._held and self._may_start_work(now_s):
-            self._release_held(now_s)
         if self._may_start_work(now_s):
+            self.packets.apply_release(now_s)
             self.requests.decide_tick(now_s)
         self._check_targets(now_s)
 
@@ -504,11 +398,6 @@
         for target in self.sessions.decide_lost(now_s):
             self.flows.observe_target_gone(self._service_by_target.get(target, ""), target)
 
-    def _release_held(self, now_s: float) -> None:
-        held, self._held = self._held, []
-        for _, forward in held:
-            self._route_forward(replace(forward, hops=0), now_s)
-
     def _read_platform(self, now_s: float) -> None:
         if self.is_leaving:
             return
@@ -585,7 +474,7 @@
         """Pass on the queues of services that another VM dispatches now."""
         lost = [name for name in self.requests.dispatchers if not self._dispatches(name)]
         for forward in self.requests.apply_handover(lost, now_s):
-            self._forward_again(replace(forward, hops=0), now_s)
+            self.packets.route_again(forward, now_s)
 
     def _dispatches(self, service: str) -> bool:
         if self.view.sheet is None or service not in self.view.sheet.services:
@@ -609,9 +498,19 @@
 
     def is_drained(self, now_s: float) -> bool:
         """Return whether nothing is left that an exit would cut."""
-        if not self.is_leaving or self._held:
+        if not self.is_leaving or self.packets.is_holding:
             return False
         return self.requests.is_idle and self.shards.handover_done(now_s=now_s)
 
+    def _may_start_work(self, now_s: float) -> bool:
+        has_peers = len(self.view.members) > 1
+        return self.pause.may_start_work(now_s=now_s, has_live_peers=has_peers)
+
+    def _follow_route(self, route: Route, forward: Forward, now_s: float) -> None:
+        self.packets.follow(route, forward, now_s)
+
+    def _route_again(self, forward: Forward, now_s: float) -> None:
+        self.packets.route_again(forward, now_s)
+
     def _emit(self, effect: Any) -> None:
         self._effects.append(effect)
--- a/mulberryswitch/daemon/_node.py
+++ b/mulberryswitch/daemon/_node.py
@@ -171,6 +171,9 @@
             if isinstance(event, Shutdown) and stop_s is None:
                 stop_s = now_s + self.settings.limits.shutdown_s
             self._handle(event, now_s)
+            if self.core.membership.is_superseded:
+                log.error("node: a newer process runs under this VM's name, stopping")
+                return
             if stop_s is not None and (now_s >= stop_s or self.core.is_drained(now_s)):
                 return
 
--- /dev/null
+++ b/mulberryswitch/daemon/_packet_service.py
@@ -0,0 +1,200 @@
+"""Packets at a VM: their routes, and requests that are held after a pause."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+from mulberryswitch.contracts import (
+    DecodeError,
+    Forward,
+    Packet,
+    PacketKind,
+    Reply,
+    ReplyKind,
+    ResultCode,
+    check_packet,
+)
+from mulberryswitch.links import ToFabric
+from mulberryswitch.observability import RecordHop
+from mulberryswitch.routing import (
+    Drop,
+    ForwardTo,
+    RefuseLocally,
+    Route,
+    Router,
+    ServeFlow,
+    ServeRequest,
+)
+
+from ._flow_service import FlowService
+from ._request_service import RequestService
+from ._view import View
+
+__all__ = ["PacketService"]
+
+MAX_HELD = 10_000
+
+
+class PacketService:
+    """Route packets from the fabric and from peers, and carry the routes out.
+
+    Parameters
+    ----------
+    view : View
+        Configuration in force and members.
+    router : Router
+        Decides routes.
+    flows : FlowService
+        Serves flows of shards that this VM owns.
+    requests : RequestService
+        Serves requests of services that this VM dispatches, and forwards others.
+    emit : callable
+        Takes effects for the links.
+    send_peer : callable
+        ``send_peer(vm, message, now_s)``.
+    may_start_work : callable
+        ``may_start_work(now_s)``; False while the view must be checked after a pause.
+    count : callable
+        ``count(name, amount)``.
+    record_hop : callable
+        Records a span per hop.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: View,
+        router: Router,
+        flows: FlowService,
+        requests: RequestService,
+        emit: Callable[[Any], None],
+        send_peer: Callable[[str, Any, float], None],
+        may_start_work: Callable[[float], bool],
+        count: Callable[[str, int], None],
+        record_hop: RecordHop,
+    ):
+        self.view = view
+        self.router = router
+        self.flows = flows
+        self.requests = requests
+        self.emit = emit
+        self.send_peer = send_peer
+        self.may_start_work = may_start_work
+        self.count = count
+        self.record_hop = record_hop
+        self._held: list[Forward] = []
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether requests are held."""
+        return bool(self._held)
+
+    def apply_hold(self, forwards: Iterable[Forward]) -> None:
+        """Hold requests until the view has been checked."""
+        self._held.extend(forwards)
+
+    def apply_release(self, now_s: float) -> None:
+        """Route the held requests in the present view."""
+        held, self._held = self._held, []
+        for forward in held:
+            self.route_again(forward, now_s)
+
+    def observe_packet(self, packet: Any, now_s: float) -> None:
+        """Take in a packet that the fabric delivered."""
+        try:
+            if not isinstance(packet, Packet):
+                raise DecodeError("not a caller's packet")
+            check_packet(packet)
+        except DecodeError:
+            self.count("packets_malformed", 1)
+            return
+        self.count("packets", 1)
+        if packet.trace:
+            attributes = {"kind": packet.kind, "address": packet.address}
+            packet = replace(packet, trace=self.record_hop("entry", packet.trace, attributes))
+        view = self.view
+        route = self.router.decide(
+            packet=packet,
+            sheet=view.sheet,
+            members=view.members,
+            members_version=view.members_version,
+            now_s=now_s,
+        )
+        if isinstance(route, ForwardTo):
+            self.follow(route, route.forward, now_s)
+            return
+        service = view.sheet.service_by_address.get(packet.address, "") if view.sheet else ""
+        forward = Forward(
+            packet=packet,
+            service=service,
+            version=view.sheet.version if view.sheet else 0,
+            hops=0,
+            entry_vm=view.vm,
+            entry_zone=view.zone,
+        )
+        self.follow(route, forward, now_s)
+
+    def observe_forward(self, forward: Forward, now_s: float) -> None:
+        """Take in a packet that a peer forwarded."""
+        try:
+            packet = check_packet(forward.packet)
+        except DecodeError:
+            self.count("packets_malformed", 1)
+            return
+        if packet.trace:
+            trace = self.record_hop("owner", packet.trace, {"service": forward.service})
+            forward = replace(forward, packet=replace(packet, trace=trace))
+        self._route(forward, now_s)
+
+    def _route(self, forward: Forward, now_s: float) -> None:
+        route = self.router.decide_forwarded(
+            forward=forward,
+            sheet=self.view.sheet,
+            members=self.view.members,
+            members_version=self.view.members_version,
+            now_s=now_s,
+        )
+        self.follow(route, forward, now_s)
+
+    def route_again(self, forward: Forward, now_s: float) -> None:
+        """Route a request once more, in the present view."""
+        self._route(replace(forward, hops=0), now_s)
+
+    def follow(self, route: Route, forward: Forward, now_s: float) -> None:
+        """Carry out a route of `forward`."""
+        match route:
+            case ServeFlow():
+                self.flows.apply_packet(forward, route.shard, now_s)
+            case ServeRequest():
+                self._serve_request(route, forward, now_s)
+            case ForwardTo():
+                self._forward(route, now_s)
+            case RefuseLocally():
+                self._refuse(forward, route.code, now_s)
+            case Drop():
+                self.count("packets_dropped", 1)
+
+    def _serve_request(self, route: ServeRequest, forward: Forward, now_s: float) -> None:
+        if self.may_start_work(now_s):
+            self.requests.apply_request(forward, route.pinned, now_s)
+        elif len(self._held) < MAX_HELD:
+            self._held.append(forward)
+        else:
+            self._refuse(forward, ResultCode.QUEUE_FULL, now_s)
+
+    def _forward(self, route: ForwardTo, now_s: float) -> None:
+        forward = route.forward
+        if forward.packet.kind in (PacketKind.REQUEST, PacketKind.CANCEL):
+            self.requests.apply_forward(route.vm, forward, now_s)
+        else:
+            self.send_peer(route.vm, forward, now_s)
+
+    def _refuse(self, forward: Forward, code: int, now_s: float) -> None:
+        packet = forward.packet
+        if packet.kind == PacketKind.REQUEST:
+            self.requests.apply_refusal(forward, code, now_s)
+        elif packet.kind == PacketKind.OPEN:
+            reply = Reply(kind=ReplyKind.REFUSED, flow=packet.flow, code=code)
+            self.emit(ToFabric(message=reply))
+        else:
+            self.count("packets_dropped", 1)
--- a/mulberryswitch/daemon/_request_service.py
+++ b/mulberryswitch/daemon/_request_service.py
@@ -17,6 +17,7 @@
     TargetCancel,
 )
 from mulberryswitch.links import ToFabric, ToTarget
+from mulberryswitch.observability import RecordHop, record_no_hop
 from mulberryswitch.requests import (
     Action,
     CancelAtTarget,
@@ -63,8 +64,10 @@
         ``send_peer(vm, message, now_s)``.
     forward_again : callable
         ``forward_again(forward, now_s)`` routes a request in the current view.
-    count, observe_wait : callable
-        Metrics.
+    count : callable
+        ``count(name, amount)``.
+    record_hop : callable
+        Records a span per hop.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         send_peer: Callable[[str, Any, float], None],
         forward_again: Callable[[Forward, float], None],
         count: Callable[[str, int], None],
+        record_hop: RecordHop = record_no_hop,
     ):
         self.view = view
         self.signer = signer
@@ -90,6 +94,7 @@
         self.send_peer = send_peer
         self.forward_again = forward_again
         self.count = count
+        self.record_hop = record_hop
         self.dispatchers: dict[str, Dispatcher] = {}
         self.pending = PendingRequests(vm=view.vm, signer=signer, max_pending=max_pending)
         self._previous: dict[RequestKey, str] = {}
@@ -260,7 +265,7 @@
         for action in actions:
             match action:
                 case SendToTarget():
-                    self.emit(ToTarget(target=action.target, frame=action.frame))
+                    self._send_request(action)
                 case CancelAtTarget():
                     frame = TargetCancel(dispatch_id=action.dispatch_id)
                     self.emit(ToTarget(target=action.target, frame=frame))
@@ -271,6 +276,13 @@
                 case ForwardAgain():
                     self.forward_again(replace(action.forward, hops=0), now_s)
 
+    def _send_request(self, action: SendToTarget) -> None:
+        frame = action.frame
+        if frame.trace:
+            attributes = {"target": action.target, "attempt": frame.attempt}
+            frame = replace(frame, trace=self.record_hop("target", frame.trace, attributes))
+        self.emit(ToTarget(target=action.target, frame=frame))
+
     def _reply(self, action: ReplyToCaller, now_s: float) -> None:
         reply = action.reply
         self.emit(ToFabric(message=reply))
