--- a/mulberryswitch/daemon/_core.py
+++ b/mulberryswitch/daemon/_core.py
@@ -112,6 +112,8 @@
         Bounds on the queue of a service and on forwarded requests.
     count : callable
         ``count(name, amount)``.
+    observe_wait : callable
+        ``observe_wait(service, wait_s)`` records how long a request waited for a slot.
     record_hop : callable
         Records a span per hop and returns the trace context for the next one.
     """
@@ -125,6 +127,7 @@
         max_queued: int = 1000,
         max_pending: int = 50_000,
         count: Callable[[str, int], None],
+        observe_wait: Callable[[str, float], None],
         record_hop: RecordHop = record_no_hop,
     ):
         self.identity = identity
@@ -164,6 +167,7 @@
             send_peer=self._send_peer,
             forward_again=self._route_again,
             count=count,
+            observe_wait=observe_wait,
             record_hop=record_hop,
         )
         self.packets = PacketService(
--- a/mulberryswitch/daemon/_node.py
+++ b/mulberryswitch/daemon/_node.py
@@ -84,6 +84,7 @@
             max_queued=cfg.limits.queue,
             max_pending=cfg.limits.pending,
             count=count,
+            observe_wait=self.metrics.observe_wait,
             record_hop=build_hop_recorder(
                 exporter=cfg.tracing.exporter, vm=cfg.node.vm, zone=cfg.node.zone
             ),
--- a/mulberryswitch/daemon/_request_service.py
+++ b/mulberryswitch/daemon/_request_service.py
@@ -66,6 +66,8 @@
         ``forward_again(forward, now_s)`` routes a request in the current view.
     count : callable
         ``count(name, amount)``.
+    observe_wait : callable
+        ``observe_wait(service, wait_s)`` records how long a request waited for a slot.
     record_hop : callable
         Records a span per hop.
     """
@@ -83,6 +85,7 @@
         send_peer: Callable[[str, Any, float], None],
         forward_again: Callable[[Forward, float], None],
         count: Callable[[str, int], None],
+        observe_wait: Callable[[str, float], None],
         record_hop: RecordHop = record_no_hop,
     ):
         self.view = view
@@ -94,6 +97,7 @@
         self.send_peer = send_peer
         self.forward_again = forward_again
         self.count = count
+        self.observe_wait = observe_wait
         self.record_hop = record_hop
         self.dispatchers: dict[str, Dispatcher] = {}
         self.pending = PendingRequests(vm=view.vm, signer=signer, max_pending=max_pending)
@@ -109,7 +113,7 @@
             actions = dispatcher.observe_cancel(forward, now_s)
         else:
             actions = dispatcher.observe_request(forward, now_s)
-        self._carry_out(actions, now_s)
+        self._carry_out(actions, now_s, forward.service)
 
     def apply_forward(self, vm: str, forward: Forward, now_s: float) -> None:
         """Forward a request to `vm` and keep it pending until its outcome is known."""
@@ -186,13 +190,13 @@
         """The link to a target is open."""
         dispatcher = self.dispatchers.get(service)
         if dispatcher is not None:
-            self._carry_out(dispatcher.observe_target_up(target, now_s), now_s)
+            self._carry_out(dispatcher.observe_target_up(target, now_s), now_s, service)
 
     def observe_target_lost(self, service: str, target: str, now_s: float) -> None:
         """The link to a target broke."""
         dispatcher = self.dispatchers.get(service)
         if dispatcher is not None:
-            self._carry_out(dispatcher.observe_target_lost(target, now_s), now_s)
+            self._carry_out(dispatcher.observe_target_lost(target, now_s), now_s, service)
 
     def observe_frame(self, service: str, target: str, frame: Any, now_s: float) -> None:
         """Take in a target's frame about a dispatched request or its load."""
@@ -208,14 +212,14 @@
                 actions = dispatcher.observe_report(target, frame, now_s)
             case _:
                 return
-        self._carry_out(actions, now_s)
+        self._carry_out(actions, now_s, service)
 
     # Time and roles
 
     def decide_tick(self, now_s: float) -> None:
         """Advance all timers."""
-        for dispatcher in self.dispatchers.values():
-            self._carry_out(dispatcher.decide_tick(now_s), now_s)
+        for service, dispatcher in self.dispatchers.items():
+            self._carry_out(dispatcher.decide_tick(now_s), now_s, service)
         self._carry_out(self.pending.decide_tick(now_s), now_s)
 
     def apply_handover(self, services: list[str], now_s: float) -> list[Forward]:
@@ -253,19 +257,19 @@
         targets = known.targets if known else ()
         dispatcher = self.dispatchers[service]
         slots = known.slots if known else 0
-        self._carry_out(dispatcher.observe_targets(targets, slots, now_s), now_s)
+        self._carry_out(dispatcher.observe_targets(targets, slots, now_s), now_s, service)
         for target in targets:
             self.sessions.apply_attach(target, now_s)
             if self.sessions.is_up(target.name):
-                self._carry_out(dispatcher.observe_target_up(target.name, now_s), now_s)
+                self._carry_out(dispatcher.observe_target_up(target.name, now_s), now_s, service)
 
     # Actions
 
-    def _carry_out(self, actions: list[Action], now_s: float) -> None:
+    def _carry_out(self, actions: list[Action], now_s: float, service: str = "") -> None:
         for action in actions:
             match action:
                 case SendToTarget():
-                    self._send_request(action)
+                    self._send_request(service, action)
                 case CancelAtTarget():
                     frame = TargetCancel(dispatch_id=action.dispatch_id)
                     self.emit(ToTarget(target=action.target, frame=frame))
@@ -276,12 +280,13 @@
                 case ForwardAgain():
                     self.forward_again(replace(action.forward, hops=0), now_s)
 
-    def _send_request(self, action: SendToTarget) -> None:
+    def _send_request(self, service: str, action: SendToTarget) -> None:
         frame = action.frame
         if frame.trace:
             attributes = {"target": action.target, "attempt": frame.attempt}
             frame = replace(frame, trace=self.record_hop("target", frame.trace, attributes))
         self.emit(ToTarget(target=action.target, frame=frame))
+        self.observe_wait(service, action.wait_s)
 
     def _reply(self, action: ReplyToCaller, now_s: float) -> None:
         reply = action.reply
--- a/mulberryswitch/daemon/_status.py
+++ b/mulberryswitch/daemon/_status.py
@@ -112,6 +112,9 @@
     """Return the states that a metrics scrape reads."""
     shards = core.shards.counters()
     flows = core.flows.list_pinned().values()
+    held_requests = [
+        held for dispatcher in core.requests.dispatchers.values() for held in dispatcher.held()
+    ]
     mean = sum(flows) / len(flows) if flows else 0.0
     return {
         "config_version": core.store.version,
@@ -124,5 +127,11 @@
         "flow_shards_owned": shards.shards_owned,
         "flow_imbalance": max(flows) / mean if mean else 0.0,
         "requests_pending": len(core.requests.pending),
-        "requests_held": sum(len(d.held()) for d in core.requests.dispatchers.values()),
+        "requests_queued": sum(held.state == "queued" for held in held_requests),
+        "requests_running": sum(held.state == "running" for held in held_requests),
+        "slots_free": sum(
+            dispatcher.slots.usable_slots(now_s)
+            for dispatcher in core.requests.dispatchers.values()
+        )
+        - sum(held.state == "running" for held in held_requests),
     }
--- a/mulberryswitch/daemon/tests/fleet.py
+++ b/mulberryswitch/daemon/tests/fleet.py
@@ -167,6 +167,7 @@
             key=KEY,
             rng=Random(self.rng.random()),
             count=lambda key, amount: None,
+            observe_wait=lambda service, wait_s: None,
         )
         self.at(TICK_S * self.rng.random(), self._tick, name, self.cores[name])
 
--- a/mulberryswitch/links/_datagrams.py
+++ b/mulberryswitch/links/_datagrams.py
@@ -60,6 +60,11 @@
         self._socket = sock
         asyncio.get_running_loop().add_reader(sock.fileno(), self._read)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port that the socket is bound to."""
+        return self._socket.getsockname()
+
     def stop(self) -> None:
         """Close the socket."""
         if self._socket is not None:
--- /dev/null
+++ b/mulberryswitch/links/tests/test_edges.py
@@ -0,0 +1,171 @@
+"""Tests of the other links: targets, platform, operator port and datagrams."""
+
+import asyncio
+import socket
+import unittest
+
+import aiohttp
+
+from mulberryswitch.contracts import (
+    FABRIC_CODEC,
+    TARGET_CODEC,
+    Announce,
+    Attached,
+    Target,
+    TargetState,
+)
+from mulberryswitch.links import (
+    ConfigRead,
+    ConfigReadFailed,
+    DatagramEndpoint,
+    OperatorPort,
+    PlatformReader,
+    ReadConfig,
+    TargetLinks,
+    TargetRefused,
+    TargetUp,
+    check_vm_list,
+)
+
+from .test_peers import find_closed_address
+
+
+def build_target(address: str) -> Target:
+    return Target(name="t1", service="reports", zone="a", address=address, state=TargetState.ACTIVE)
+
+
+class TargetLinksTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against using a target of another service."""
+
+    async def attach(self, attached: Attached) -> asyncio.Queue:
+        async def serve(reader, writer):
+            await reader.read(1000)
+            writer.write(TARGET_CODEC.encode(attached))
+            self.closed.set_result(await reader.read(1000))
+            writer.close()
+
+        self.closed = asyncio.get_running_loop().create_future()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        events = asyncio.Queue()
+        links = TargetLinks(vm="vm1", report=events.put_nowait)
+        self.addCleanup(links.stop)
+        links.attach(build_target(f"127.0.0.1:{server.sockets[0].getsockname()[1]}"))
+        return events
+
+    async def test_target_of_the_service_comes_up(self):
+        events = await self.attach(Attached(service="reports", target="t1"))
+        self.assertEqual(await events.get(), TargetUp(target="t1"))
+
+    async def test_link_to_a_target_of_another_service_is_closed(self):
+        events = await self.attach(Attached(service="scans", target="t1"))
+        self.assertEqual(await self.closed, b"")
+        self.assertTrue(events.empty())
+
+    async def test_refused_connection_is_reported(self):
+        events = asyncio.Queue()
+        links = TargetLinks(vm="vm1", report=events.put_nowait)
+        self.addCleanup(links.stop)
+        links.attach(build_target(find_closed_address()))
+        self.assertEqual(await events.get(), TargetRefused(target="t1"))
+
+
+class PlatformReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against answers that are cut short, malformed or missing."""
+
+    async def read(self, answer: bytes):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        events = asyncio.Queue()
+        port = server.sockets[0].getsockname()[1]
+        platform = PlatformReader(url=f"http://127.0.0.1:{port}", report=events.put_nowait)
+        await platform.start()
+        self.addAsyncCleanup(platform.stop)
+        platform.read_config(ReadConfig(after=0, wait_s=0.0))
+        return await events.get()
+
+    async def test_whole_answer(self):
+        event = await self.read(b"HTTP/1.1 200 OK\r\nX-Version: 3\r\nContent-Length: 2\r\n\r\n{}")
+        self.assertEqual(event, ConfigRead(document=b"{}", version=3))
+
+    async def test_answers_without_use_are_failures(self):
+        cases = {
+            "cut short": b"HTTP/1.1 200 OK\r\nX-Version: 3\r\nContent-Length: 9\r\n\r\n{}",
+            "no version": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+            "bad version": b"HTTP/1.1 200 OK\r\nX-Version: x\r\nContent-Length: 2\r\n\r\n{}",
+            "overload": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+            "no HTTP": b"hello\r\n\r\n",
+        }
+        for name, answer in cases.items():
+            with self.subTest(name):
+                self.assertIsInstance(await self.read(answer), ConfigReadFailed)
+
+    def test_malformed_list_is_an_error(self):
+        for text in (b"", b"[]", b"{}", b'{"vms": [1]}', b'{"vms": [{"vm": "a"}]}'):
+            with self.subTest(text), self.assertRaises(ValueError):
+                check_vm_list(text)
+
+
+class OperatorPortTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the operator port against wrong questions."""
+
+    async def asyncSetUp(self):
+        self.address = find_closed_address()
+        port = OperatorPort(
+            listen=self.address,
+            read_status=lambda: {"vm": "vm1"},
+            read_holds=dict,
+            explain=lambda flow, address: {"flow": flow.hex()},
+            render_metrics=lambda accept: (b"m 1\n", {"Content-Type": "text/plain"}),
+            cut=None,
+        )
+        await port.start()
+        self.addAsyncCleanup(port.stop)
+
+    async def ask(self, method: str, path: str) -> int:
+        async with aiohttp.ClientSession() as session:
+            async with session.request(method, f"http://{self.address}{path}") as response:
+                return response.status
+
+    async def test_status_codes(self):
+        cases = [
+            ("GET", "/v1/status", 200),
+            ("GET", "/v1/holds", 200),
+            ("GET", "/metrics", 200),
+            ("GET", "/v1/explain?flow=00ff&address=10.0.0.1:1", 200),
+            ("GET", "/v1/explain?flow=xyz&address=10.0.0.1:1", 400),
+            ("GET", "/v1/explain?flow=00", 400),
+            ("POST", "/v1/test/cut", 403),
+            ("GET", "/nothing", 404),
+        ]
+        for method, path, status in cases:
+            with self.subTest(path):
+                self.assertEqual(await self.ask(method, path), status)
+
+
+class DatagramEndpointTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the fabric port against datagrams that are no message."""
+
+    async def test_malformed_datagrams_are_counted_and_the_next_one_arrives(self):
+        batches, counts = asyncio.Queue(), {}
+        endpoint = DatagramEndpoint(
+            listen="127.0.0.1:0",
+            codec=FABRIC_CODEC,
+            receive=batches.put_nowait,
+            count=lambda name, amount: counts.update({name: counts.get(name, 0) + amount}),
+        )
+        await endpoint.start()
+        self.addCleanup(endpoint.stop)
+        message = Announce(vm="vm1")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for data in (b"", b"\xc1", b"x" * 20_000, FABRIC_CODEC.encode(message)):
+                sock.sendto(data, endpoint.address)
+        batch = await batches.get()
+        self.assertEqual(batch[-1][1], message)
+        self.assertEqual(counts["datagrams_refused"], 3)
+        self.assertEqual(counts["datagrams_refused_102"], 1)
--- a/mulberryswitch/requests/_actions.py
+++ b/mulberryswitch/requests/_actions.py
@@ -1,6 +1,6 @@
 """Actions that the request decisions return to their caller."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mulberryswitch.contracts import Done, Forward, Reply, TargetRequest
 
@@ -16,11 +16,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SendToTarget:
-    """Send `frame` on the link of `target`."""
+    """Send `frame` on the link of `target`; it waited `wait_s` seconds for a slot."""
 
     target: str
     dispatch_id: int
     frame: TargetRequest
+    wait_s: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -477,7 +477,8 @@
             trace=packet.trace,
             body=packet.body,
         )
-        self._outcomes.add(SendToTarget(state.name, record.dispatch_id, frame))
+        wait_s = now_s - record.queued_s
+        self._outcomes.add(SendToTarget(state.name, record.dispatch_id, frame, wait_s))
 
     def _apply_slot_freed(self, record: Record, now_s: float) -> TargetSlots:
         del self._running[record.dispatch_id]
