--- a/mulberryswitch/vms/tests/test_membership.py
+++ b/mulberryswitch/vms/tests/test_membership.py
@@ -260,6 +260,17 @@
         self.assertEqual(self.node.members["vm-2"].incarnation, 7)
         self.assertEqual(state_of(self.node, 2), MemberState.DEAD)
 
+    def test_suspicion_starts_again_after_a_pause(self):
+        """The refutation may wait in the socket's buffer when the process resumes."""
+        tell(self.node, make_update(2))
+        self.node.decide_tick(now_s=START_S, rng=Random(1))
+        self.node.observe_link_lost(vm="vm-2", now_s=START_S)
+        for now_s, state in ((30.0, MemberState.SUSPECT), (30.9, MemberState.SUSPECT)):
+            self.node.decide_tick(now_s=START_S + now_s, rng=Random(1))
+            self.assertEqual(state_of(self.node, 2), state)
+        self.node.decide_tick(now_s=START_S + 31.5, rng=Random(1))
+        self.assertEqual(state_of(self.node, 2), MemberState.DEAD)
+
     def test_newcomer_is_told_recent_changes(self):
         tell(self.node)
         tell(self.node, make_update(2, state=MemberState.DEAD))
