Merge copies after a long pause

A VM that was paused while another one took over, and then was cut off from that one, kept its own state: it took the copies of its standbys for its own.

--- a/mulberryswitch/routing/_entry.py
+++ b/mulberryswitch/routing/_entry.py
@@ -20,6 +20,8 @@
 MAX_ASKED = 64
 # A VM that takes over exceeds a connection limit by at most the flows opened in this time.
 COUNTS_S = 1.0
+# Other VMs suspect a silent VM for this long before one of them takes over.
+TAKEOVER_S = 1.5
 # The flow table resolves no unknown flow when the last tick is older than this: the process was
 # paused, and another VM may have taken the shard over.
 TICK_VALID_S = 1.0
@@ -90,6 +92,7 @@
         self._until_s = 0.0
         self._give_up_s = 0.0
         self._rebase_until_s = 0.0
+        self._merges_copies = False
         self._held_acks: dict[str, Outgoing] = {}
 
     @property
@@ -177,11 +180,12 @@
 
     # Time
 
-    def apply_resume(self, *, now_s: float) -> list[Outgoing]:
+    def apply_resume(self, *, paused_s: float, now_s: float) -> list[Outgoing]:
         """Ask for the state after a pause: a standby may have taken the shard over."""
         for replica in self.replicas.values():
             replica.current = False
         if self.role is Role.OWNER:
+            self._merges_copies = paused_s >= TAKEOVER_S
             return self._start_waiting(list(self.streams), now_s)
         return self._ask([self.view.owner]) if self.vm in self.view.standbys else []
 
@@ -337,9 +341,20 @@
         self._taken_s = now_s
         fleet_is_new = not self._asked and not self.flows.base
         self.flows.apply_start(fleet_is_new=fleet_is_new, now_s=now_s)
+        if self._merges_copies:
+            self._merge_copies(now_s)
         self._set_owner()
         return []
 
+    def _merge_copies(self, now_s: float) -> None:
+        """Add the pins that an owner made during a pause and that only its standbys report."""
+        self._merges_copies = False
+        for replica in self.replicas.values():
+            if replica.usable:
+                pins = [Pin(flow=flow, target=target) for flow, target in replica.pins.items()]
+                self.flows.apply_merge(pins=pins, counts=replica.counts, now_s=now_s)
+                replica.apply_merged()
+
     def _merge(self, sender: str, state: ShardState, ack: Outgoing, now_s: float) -> Outgoing:
         """Merge what another VM knows of a shard that this VM serves."""
         replica = self.replicas[sender]
--- a/mulberryswitch/routing/_replication.py
+++ b/mulberryswitch/routing/_replication.py
@@ -105,12 +105,12 @@
 
     def decide_tick(self, *, now_s: float) -> list[Outgoing]:
         """Return the state messages that are due; call it several times a second."""
-        paused = self._tick_s is not None and now_s - self._tick_s > TICK_VALID_S
+        paused_s = 0.0 if self._tick_s is None else now_s - self._tick_s
         self._tick_s = now_s
         outgoing: list[Outgoing] = []
         for key, entry in list(self._entries.items()):
-            if paused:
-                outgoing += entry.apply_resume(now_s=now_s)
+            if paused_s > TICK_VALID_S:
+                outgoing += entry.apply_resume(paused_s=paused_s, now_s=now_s)
             outgoing += entry.decide_tick(now_s=now_s)
             if not entry.is_needed:
                 del self._entries[key]
