Refuse a directory that holds records of an earlier run

Target and caller records are appended, so a kept directory that is used twice would count the earlier run again.

--- a/standins/_run.py
+++ b/standins/_run.py
@@ -168,9 +168,17 @@
 
 @contextlib.contextmanager
 def open_directory(keep: Path | None) -> Iterator[Path]:
-    """Yield `keep`, created if missing, or a temporary directory."""
+    """Yield `keep`, created if missing, or a temporary directory.
+
+    Raises
+    ------
+    ClusterError
+        If `keep` holds files, because records of an earlier run would be counted again.
+    """
     if keep:
         keep.mkdir(parents=True, exist_ok=True)
+        if any(keep.iterdir()):
+            raise ClusterError(f"{keep} is not empty")
         yield keep
         return
     with tempfile.TemporaryDirectory(prefix="mulberryswitch-") as temporary:
