Report a target that refuses connections

Cause: the report of a refused connection had been left out of the link, so flows of a killed target were never closed towards their callers, who found out from 5 s of silence. Ruled out: the decision, whose matrix cells pass with the event.

--- a/mulberryswitch/links/_targets.py
+++ b/mulberryswitch/links/_targets.py
@@ -7,7 +7,7 @@
 
 from mulberryswitch.contracts import TARGET_CODEC, Attach, Attached, DecodeError, Target
 
-from ._events import TargetFrames, TargetLost, TargetUp
+from ._events import TargetFrames, TargetLost, TargetRefused, TargetUp
 from ._streams import parse_endpoint, read_messages, write_messages
 
 __all__ = ["TargetLinks"]
@@ -65,6 +65,8 @@
                 if await self._serve_link(target):
                     wait_s = RECONNECT_S
             except (OSError, TimeoutError, DecodeError, StopAsyncIteration) as exc:
+                if isinstance(exc, ConnectionRefusedError):
+                    self.report(TargetRefused(target=target.name))
                 log.info("targets: link failed", extra={"target": target.name, "reason": str(exc)})
             await asyncio.sleep(wait_s)
             wait_s = min(wait_s * 2, MAX_RECONNECT_S)
--- a/mulberryswitch/links/tests/test_edges.py
+++ b/mulberryswitch/links/tests/test_edges.py
@@ -160,7 +160,6 @@
             count=lambda name, amount: counts.update({name: counts.get(name, 0) + amount}),
         )
         await endpoint.start()
-        self.addCleanup(endpoint.stop)
         message = Announce(vm="vm1")
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             for data in (b"", b"\xc1", b"x" * 20_000, FABRIC_CODEC.encode(message)):
@@ -169,3 +168,4 @@
         self.assertEqual(batch[-1][1], message)
         self.assertEqual(counts["datagrams_refused"], 3)
         self.assertEqual(counts["datagrams_refused_102"], 1)
+        endpoint.stop()
