Open links to all targets when a flow is searched

Cause: the search for a flow that its assumed target does not know skipped targets without a link, and nothing opened one, so packets of a closed flow were dropped for ever. Seen in the pair cell 'target killed, messages lost' since replies can be lost in the fake fabric: the CLOSED reply was lost and the caller never heard again.

--- a/mulberryswitch/daemon/_flow_service.py
+++ b/mulberryswitch/daemon/_flow_service.py
@@ -119,9 +119,10 @@
         packet = forward.packet
         asked = self._searches[packet.flow]
         known = self.view.sheet.services.get(forward.service)
-        names = [target.name for target in known.targets] if known else []
-        left = [name for name in names if name not in asked]
-        reachable = next((name for name in left if self.sessions.is_up(name)), None)
+        left = [target for target in (known.targets if known else ()) if target.name not in asked]
+        for target in left:
+            self.sessions.apply_attach(target, now_s)
+        reachable = next((t.name for t in left if self.sessions.is_up(t.name)), None)
         if reachable is not None:
             frame = TargetData(flow=packet.flow, body=packet.body)
             self._send(reachable, forward, frame, now_s)
