Hold requests back from a VM that has stopped answering

Cause: a paused dispatcher is declared dead after about 3 s, and every non-idempotent request that was forwarded to it meanwhile ends as unknown. Ruled out: moving ownership on suspicion, because a wrong suspicion would make two dispatchers. A VM that holds requests and answers no direct ping within 0.5 s gets no further ones; they wait at the VM before it, which may refuse them truthfully.

--- a/mulberryswitch/daemon/_core.py
+++ b/mulberryswitch/daemon/_core.py
@@ -51,7 +51,7 @@
     Route,
     Router,
 )
-from mulberryswitch.vms import Membership, PauseDetector, Send
+from mulberryswitch.vms import Membership, PauseDetector, Send, SilenceDetector
 
 from ._flow_service import FlowService
 from ._packet_service import PacketService
@@ -144,6 +144,7 @@
             incarnation=identity.incarnation,
         )
         self.pause = PauseDetector()
+        self.silence = SilenceDetector()
         self.shards = FlowShards(vm=identity.vm, zone=identity.zone)
         self.router = Router(vm=identity.vm, zone=identity.zone, shards=self.shards)
         self.sessions = TargetSessions(emit=self._emit)
@@ -168,6 +169,7 @@
             forward_again=self._route_again,
             count=count,
             observe_wait=observe_wait,
+            is_silent=lambda vm, now_s: self.silence.is_silent(vm=vm, now_s=now_s),
             record_hop=record_hop,
         )
         self.packets = PacketService(
@@ -201,6 +203,7 @@
                 for packet in event.packets:
                     self.packets.observe_packet(packet, now_s)
             case PeerMessages():
+                self.silence.observe_heard(vm=event.vm)
                 for message in event.messages:
                     self._observe_message(event.vm, message, now_s)
             case TargetFrames():
@@ -258,6 +261,7 @@
         if not self.pause.observe_tick(now_s=now_s):
             return
         self.count("pauses", 1)
+        self.silence.apply_resume()
         log.warning("node: process was paused, new work is held until a peer answers")
         self._send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
         self._send_all(self.shards.decide_tick(now_s=now_s), now_s)
@@ -312,6 +316,8 @@
     def _send_peer(self, vm: str, message: Any, now_s: float) -> None:
         member = self.membership.members.get(vm)
         if member is not None and member.state is not MemberState.DEAD:
+            if isinstance(message, Forward):
+                self.silence.observe_sent(vm=vm, now_s=now_s)
             self._emit(ToPeer(vm=vm, address=member.address, message=message))
         else:
             self.requests.observe_unsent(message, now_s)
@@ -328,6 +334,7 @@
         sends = self.membership.observe_message(
             message=event.message, sender_address=event.sender, now_s=now_s, rng=self.rng
         )
+        self.silence.observe_heard(vm=event.message.sender)
         if isinstance(event.message, Ack):
             self.pause.observe_peer_ack(now_s=now_s, sent_s=self.membership.acknowledged_s)
         self._send_members(sends)
@@ -378,6 +385,8 @@
             self.membership.observe_seeds(addresses=self.identity.seeds, now_s=now_s)
         if self._is_due("members", MEMBER_TICK_S, now_s):
             self._send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+        for vm in self.silence.decide_asks(now_s=now_s):
+            self._send_members(self.membership.decide_ping(vm=vm, now_s=now_s))
         if self._is_due("shards", SHARD_TICK_S, now_s):
             self._send_all(self.shards.decide_tick(now_s=now_s), now_s)
         if self._is_due("configuration", TICK_S, now_s):
@@ -448,6 +457,7 @@
         routable = frozenset(member.vm for member in self.membership.routable())
         for vm in self._routable - routable:
             self._emit(ClosePeer(vm=vm))
+            self.silence.observe_heard(vm=vm)
             log.warning("members: VM is dead", extra={"peer": vm})
         self._routable = routable
         self.exchange.observe_members(members=self.membership.routable(), now_s=now_s)
--- a/mulberryswitch/daemon/_request_service.py
+++ b/mulberryswitch/daemon/_request_service.py
@@ -68,6 +68,8 @@
         ``count(name, amount)``.
     observe_wait : callable
         ``observe_wait(service, wait_s)`` records how long a request waited for a slot.
+    is_silent : callable
+        ``is_silent(vm, now_s)``; a silent VM gets no request.
     record_hop : callable
         Records a span per hop.
     """
@@ -86,6 +88,7 @@
         forward_again: Callable[[Forward, float], None],
         count: Callable[[str, int], None],
         observe_wait: Callable[[str, float], None],
+        is_silent: Callable[[str, float], bool],
         record_hop: RecordHop = record_no_hop,
     ):
         self.view = view
@@ -98,6 +101,7 @@
         self.forward_again = forward_again
         self.count = count
         self.observe_wait = observe_wait
+        self.is_silent = is_silent
         self.record_hop = record_hop
         self.dispatchers: dict[str, Dispatcher] = {}
         self.pending = PendingRequests(vm=view.vm, signer=signer, max_pending=max_pending)
@@ -126,6 +130,9 @@
         refusals = self.pending.observe_forwarded(forward, vm, now_s)
         if refusals:
             self._carry_out(refusals, now_s)
+        elif self.is_silent(vm, now_s):
+            self.count("requests_held_back", 1)
+            self.observe_unsent(forward, now_s)
         else:
             self.send_peer(vm, forward, now_s)
 
--- a/mulberryswitch/vms/__init__.py
+++ b/mulberryswitch/vms/__init__.py
@@ -3,6 +3,7 @@
 from ._membership import ListEntry, Membership, Send
 from ._owners import Member, pick_owner, pick_standbys, rank_members
 from ._pause import PauseDetector
+from ._silence import SilenceDetector
 
 __all__ = [
     "ListEntry",
@@ -10,6 +11,7 @@
     "Membership",
     "PauseDetector",
     "Send",
+    "SilenceDetector",
     "pick_owner",
     "pick_standbys",
     "rank_members",
--- a/mulberryswitch/vms/_membership.py
+++ b/mulberryswitch/vms/_membership.py
@@ -334,6 +334,12 @@
         self._view.apply_suspicion(vm, now_s=now_s)
         return [self._ping(vm, now_s)]
 
+    def decide_ping(self, *, vm: str, now_s: float) -> list[Send]:
+        """Return a ping to `vm` outside the periods, without any suspicion."""
+        if vm not in self._view.records or self.is_superseded:
+            return []
+        return [self._ping(vm, now_s)]
+
     def observe_link_refused(self, *, vm: str, now_s: float) -> list[Send]:
         """Suspect `vm` for a short time: its VM answered that no process listens."""
         if vm not in self._view.records or self.is_superseded:
