--- a/mulberryswitch/routing/tests/test_fleet.py
+++ b/mulberryswitch/routing/tests/test_fleet.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from hypothesis import Phase, settings
+from hypothesis import Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -269,16 +269,20 @@
 class FleetTest(unittest.TestCase):
     """Guards against flows that move when VMs, views and targets change together."""
 
-    def test_fleet(self):
+    def run_machine(self, machine, **options) -> None:
         # Without the other phases a failure is reported as found; reducing it takes minutes.
-        FleetMachine.TestCase.settings = settings(
-            derandomize=True,
-            max_examples=60,
-            stateful_step_count=40,
-            deadline=None,
-            phases=(Phase.generate,),
+        machine.TestCase.settings = settings(
+            stateful_step_count=40, deadline=None, phases=(Phase.generate,), **options
         )
         result = unittest.TestResult()
-        FleetMachine.TestCase("runTest").run(result)
+        machine.TestCase("runTest").run(result)
         for _, trace in result.failures + result.errors:
             self.fail(trace)
+
+    def test_fleet(self):
+        self.run_machine(FleetMachine, derandomize=True, max_examples=60)
+
+    def test_fleet_with_seed_5(self):
+        """A longer search that found an owner above the connection limit."""
+        machine = seed(5)(type("SeededMachine", (FleetMachine,), {}))
+        self.run_machine(machine, database=None, max_examples=100)
