--- a/mulberryswitch/cli/_main.py
+++ b/mulberryswitch/cli/_main.py
@@ -210,11 +210,23 @@
         click.echo(json.dumps(answers))
     else:
         for operator, answer in answers.items():
-            facts = ", ".join(f"{name} {value}" for name, value in answer.items())
-            click.echo(f"{operator}: {facts}")
+            click.echo(f"{operator}: {_describe_explanation(answer)}")
     _finish(reached)
 
 
+def _describe_explanation(answer: dict[str, Any]) -> str:
+    if "error" in answer:
+        return f"no answer: {answer['error']}"
+    if answer["service"] is None:
+        return f"{answer['address']}: {answer['reason']}"
+    text = f"{answer['address']} is {answer['service']}, shard {answer['shard']}"
+    if not answer["served_here"]:
+        return f"{text}, owned by {answer['owner']}; ask that VM for the target"
+    if not answer["pinned_target"]:
+        return f"{text}, owned by this VM, which knows no such flow"
+    return f"{text}, owned by this VM, target {answer['pinned_target']}"
+
+
 @main.command()
 @operator_option
 @output_option
--- a/mulberryswitch/daemon/_node.py
+++ b/mulberryswitch/daemon/_node.py
@@ -99,7 +99,7 @@
             ),
             clock=self.clock,
             report=self._report,
-            count=partial(self._count_link, "peer"),
+            count=count,
         )
         self.fabric = DatagramEndpoint(
             listen=cfg.fabric.listen,
