Spread the platform reads of VMs whose peers fall silent

The first read after news now comes 5 to 10 s later, so the bound of 10 s stays; the later periods keep the 5%. Ruled out: any part of the whole period, which would read the platform while news still come every 3 s.

--- a/mulberryswitch/configuration/_readers.py
+++ b/mulberryswitch/configuration/_readers.py
@@ -13,6 +13,7 @@
 READ_S = 5.0  # a read without a watch, and the margin of a watch, count as failed after this
 QUIET_S = 10.0
 QUIET_SPREAD = 0.05
+FIRST_SPREAD = 0.5
 MIN_SPACING_S = 0.2
 FIRST_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 30.0
@@ -43,11 +44,13 @@
         self._reading_until_s: float | None = None
         self._quiet_s: float | None = None
         self._delay_s: float | None = None
+        self._had_news = True
 
     def observe_news(self, now_s: float) -> None:
         """A peer sent a message about the configuration."""
         self._news_s = now_s
         self._quiet_s = None
+        self._had_news = True
 
     def observe_success(self, now_s: float) -> None:
         """A read ended with an accepted document or with nothing new."""
@@ -62,6 +65,7 @@
     def _finish(self, now_s: float) -> None:
         self._reading_until_s = None
         self._ready_s = self._news_s = now_s
+        self._had_news = False
         self._delay_s = self._quiet_s = None
 
     def _pick_delay_s(self, rng: Random) -> float:
@@ -70,6 +74,13 @@
         backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(self.failures - 1, 16))
         return backoff_s * (1 - BACKOFF_SPREAD * rng.random())
 
+    def _pick_quiet_s(self, rng: Random) -> float:
+        # When the news stop, they stop for the whole fleet at once. The first reads are spread over
+        # half a period; timers shortened by 5% alone leave a peak of a fifth of the fleet.
+        if self._had_news:
+            return QUIET_S * (1 - FIRST_SPREAD * rng.random())
+        return QUIET_S * (1 - QUIET_SPREAD * rng.random())
+
     def decide(self, *, after: int, watches: bool, now_s: float, rng: Random) -> ReadPlan | None:
         """Return the read to start now, or None."""
         if self._news_s is None:
@@ -81,7 +92,7 @@
         if self._delay_s is None:
             self._delay_s = self._pick_delay_s(rng)
         if self._quiet_s is None:
-            self._quiet_s = QUIET_S * (1 - QUIET_SPREAD * rng.random())
+            self._quiet_s = self._pick_quiet_s(rng)
         if now_s - self._ready_s < self._delay_s:
             return None
         if not watches and now_s - self._news_s < self._quiet_s:
