Close links to targets that the sheet no longer has

A link to a removed target was kept for ever and tried to reconnect every 2 s. It is closed once no flow is pinned to the target and no request runs there.

--- a/mulberryswitch/daemon/_core.py
+++ b/mulberryswitch/daemon/_core.py
@@ -69,6 +69,7 @@
 LEAVING_KEEP_S = 30.0
 MEMBER_TICK_S = 0.1
 SHARD_TICK_S = 0.1
+DETACH_PERIOD_S = 5.0
 
 log = logging.getLogger("node")
 
@@ -398,6 +399,19 @@
             self.packets.apply_release(now_s)
             self.requests.decide_tick(now_s)
         self._check_targets(now_s)
+        if self._is_due("detach", DETACH_PERIOD_S, now_s):
+            self._detach_removed()
+
+    def _detach_removed(self) -> None:
+        """Close links to targets that the sheet no longer has and that nothing here uses."""
+        if self.view.sheet is None:
+            return
+        listed = {t.name for s in self.view.sheet.services.values() for t in s.targets}
+        used = {name for name, flows in self.flows.list_pinned().items() if flows}
+        used |= self.requests.list_busy_targets()
+        for name in self.sessions.names():
+            if name not in listed and name not in used:
+                self.sessions.apply_detach(name)
 
     def _check_targets(self, now_s: float) -> None:
         """Keep new flows away from unreachable targets and end the flows of dead ones."""
--- a/mulberryswitch/daemon/_request_service.py
+++ b/mulberryswitch/daemon/_request_service.py
@@ -238,6 +238,10 @@
                 handed += dispatcher.apply_handover(now_s)
         return handed
 
+    def list_busy_targets(self) -> set[str]:
+        """Return the targets that run a request of a dispatcher here."""
+        return {held.target for d in self.dispatchers.values() for held in d.held() if held.target}
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing is queued, running or pending here."""
--- a/mulberryswitch/daemon/tests/test_core.py
+++ b/mulberryswitch/daemon/tests/test_core.py
@@ -6,7 +6,14 @@
 from mulberryswitch.daemon import build_explanation, build_gauges, build_holds, build_status
 from mulberryswitch.links import FabricPackets, PeerMessages, ToFabric, ToPeer
 
-from .builders import SERVICE_ADDRESSES, build_fleet, open_flow, send_request
+from .builders import (
+    JOINING_TARGET,
+    SERVICE_ADDRESSES,
+    build_document,
+    build_fleet,
+    open_flow,
+    send_request,
+)
 
 ADDRESS = SERVICE_ADDRESSES["feeds"]
 
@@ -109,6 +116,21 @@
         self.assertEqual(sum(gauge["requests_running"] for gauge in gauges), 1)
         self.assertEqual(sum(gauge["flows_open"] for gauge in gauges), 1)
 
+    def test_link_to_a_removed_target_is_closed_once_its_flow_ended(self):
+        """Links of removed targets must neither cut open flows nor stay for ever."""
+        flow = open_flow(self.fleet)
+        self.fleet.run(1.0)
+        target = next(t for t in self.fleet.targets.values() if flow.flow in t.flows)
+        self.fleet.publish(build_document(without=(target.name, JOINING_TARGET)))
+        self.fleet.run(8.0)
+        owner = next(c for c in self.fleet.cores.values() if c.flows.list_pinned())
+        self.assertTrue(owner.sessions.is_up(target.name))
+        self.assertIsNone(flow.closed_code)
+        self.fleet.kill_target(target.name)
+        self.fleet.run(12.0)
+        self.assertIsNotNone(flow.closed_code)
+        self.assertNotIn(target.name, owner.sessions.names())
+
     def test_vm_without_configuration_stays_out_of_the_fabric(self):
         """A VM that only refuses must not get packets from the fabric."""
         self.fleet.platform_mode = "down"
