Say the receipt's size and the declined message once; count pinned flows once per status

The size of a receipt stood in the packets and in the signer, which could have drifted apart. A declined message was built in two places. A status counted the flows of all shards again for every target.

--- a/mulberryswitch/contracts/_packets.py
+++ b/mulberryswitch/contracts/_packets.py
@@ -10,6 +10,7 @@
     "MAX_DATAGRAM_BYTES",
     "MAX_FLOW_ID_BYTES",
     "MAX_PIECE_BYTES",
+    "RECEIPT_BYTES",
     "Announce",
     "Packet",
     "PacketKind",
--- a/mulberryswitch/daemon/_request_service.py
+++ b/mulberryswitch/daemon/_request_service.py
@@ -138,10 +138,7 @@
 
     def apply_refusal(self, forward: Forward, code: int, now_s: float) -> None:
         """Refuse the only copy of a request; the entry VM may send it elsewhere first."""
-        packet = forward.packet
-        declined = Declined(
-            flow=packet.flow, request_id=packet.request_id, attempt=packet.attempt, code=code
-        )
+        declined = _build_declined(forward, code)
         if forward.entry_vm != self.view.vm:
             self.send_peer(forward.entry_vm, declined, now_s)
         elif self.pending.is_pending(declined):
@@ -166,13 +163,7 @@
         """A message to a peer did not leave this VM."""
         match message:
             case Forward(packet=packet) if packet.kind == PacketKind.REQUEST:
-                declined = Declined(
-                    flow=packet.flow,
-                    request_id=packet.request_id,
-                    attempt=packet.attempt,
-                    code=ResultCode.NO_PATH,
-                )
-                self.observe_declined(declined, now_s)
+                self.observe_declined(_build_declined(message, ResultCode.NO_PATH), now_s)
             case Declined():
                 # The entry VM is gone, so nobody else can tell the caller; it asks again itself.
                 self.count("declines_unsent", 1)
@@ -320,5 +311,10 @@
             self.send_peer(action.entry_vm, action.done, now_s)
 
 
+def _build_declined(forward: Forward, code: int) -> Declined:
+    flow, request_id, attempt = _key_of(forward)
+    return Declined(flow=flow, request_id=request_id, attempt=attempt, code=code)
+
+
 def _key_of(forward: Forward) -> RequestKey:
     return forward.packet.flow, forward.packet.request_id, forward.packet.attempt
--- a/mulberryswitch/daemon/_status.py
+++ b/mulberryswitch/daemon/_status.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from mulberryswitch.contracts import Target
 from mulberryswitch.routing import shard_of
 
 from ._core import NodeCore
@@ -12,6 +13,7 @@
 def build_status(core: NodeCore, now_s: float) -> dict[str, Any]:
     """Return the state of a VM: configuration in force, refusals, members, targets."""
     store, sheet = core.store, core.view.sheet
+    pinned = core.flows.list_pinned()
     return {
         "vm": core.view.vm,
         "zone": core.view.zone,
@@ -31,7 +33,7 @@
             for member in core.membership.members.values()
         ],
         "targets": [
-            _describe_target(core, target)
+            _describe_target(core, target, pinned.get(target.name, 0))
             for service in (sheet.services.values() if sheet else ())
             for target in service.targets
         ],
@@ -56,14 +58,14 @@
     }
 
 
-def _describe_target(core: NodeCore, target: Any) -> dict[str, Any]:
+def _describe_target(core: NodeCore, target: Target, flows: int) -> dict[str, Any]:
     return {
         "target": target.name,
         "service": target.service,
         "zone": target.zone,
         "state": target.state.value,
         "linked": core.sessions.is_up(target.name),
-        "flows": core.flows.list_pinned().get(target.name, 0),
+        "flows": flows,
     }
 
 
--- a/mulberryswitch/requests/_receipts.py
+++ b/mulberryswitch/requests/_receipts.py
@@ -3,9 +3,10 @@
 import hmac
 import struct
 
-__all__ = ["RECEIPT_BYTES", "ReceiptSigner"]
+from mulberryswitch.contracts import RECEIPT_BYTES
+
+__all__ = ["ReceiptSigner"]
 
-RECEIPT_BYTES = 16
 DOMAIN = b"mulberryswitch receipt 1"
 
 
