Direct path: packets forwarded by a token, the store read through an adapter

First whole path on the users' platform. The relayed path stays the product's own interface; pydantic and OpenTelemetry are imported at first use, since a VM of the direct path pays for memory and start-up time.

--- a/mulberryswitch/contracts/__init__.py
+++ b/mulberryswitch/contracts/__init__.py
@@ -1,5 +1,7 @@
 """Wire messages, result codes, settings and the published configuration."""
 
+from mulberryswitch._lazy import build_lazy_getter
+
 from ._codec import Codec, DecodeError
 from ._codes import ResultCode, is_refusal, is_unknown
 from ._messages import (
@@ -38,22 +40,6 @@
     ReplyKind,
     check_packet,
 )
-from ._settings import (
-    FabricSettings,
-    InvalidSettingError,
-    LimitSettings,
-    LogSettings,
-    NodeSettings,
-    OperatorSettings,
-    PeerSettings,
-    PlatformSettings,
-    Settings,
-    SettingsError,
-    TestingSettings,
-    TracingSettings,
-    check_settings,
-    read_settings,
-)
 from ._sheet import Service, Sheet, Target, TargetState
 from ._target_frames import (
     MAX_TARGET_FRAME_BYTES,
@@ -145,3 +131,27 @@
     "is_unknown",
     "read_settings",
 ]
+
+# pydantic is imported with the settings of the relayed path only.
+__getattr__ = build_lazy_getter(
+    __name__,
+    dict.fromkeys(
+        (
+            "FabricSettings",
+            "InvalidSettingError",
+            "LimitSettings",
+            "LogSettings",
+            "NodeSettings",
+            "OperatorSettings",
+            "PeerSettings",
+            "PlatformSettings",
+            "Settings",
+            "SettingsError",
+            "TestingSettings",
+            "TracingSettings",
+            "check_settings",
+            "read_settings",
+        ),
+        "_settings",
+    ),
+)
--- /dev/null
+++ b/mulberryswitch/directory/__init__.py
@@ -0,0 +1,24 @@
+"""Routes and targets in force, as the platform's store publishes them."""
+
+from ._directory import Departure, Directory
+from ._reading import Pause, ReadAll, ReadPlanner, Watch
+from ._records import DecodeRecord, Manifest, Record, Route, RouteKey, Target, TrafficKind
+from ._tokens import NO_TOKEN, build_token
+
+__all__ = [
+    "NO_TOKEN",
+    "DecodeRecord",
+    "Departure",
+    "Directory",
+    "Manifest",
+    "Pause",
+    "ReadAll",
+    "ReadPlanner",
+    "Record",
+    "Route",
+    "RouteKey",
+    "Target",
+    "TrafficKind",
+    "Watch",
+    "build_token",
+]
--- /dev/null
+++ b/mulberryswitch/forwarding/__init__.py
@@ -0,0 +1,25 @@
+"""Decisions on callers' packets: placement of new flows, tokens of open ones, silent targets."""
+
+from ._flows import Flow, FlowTable
+from ._forwarder import Forwarder
+from ._loads import LoadDigest, TargetHealth, TargetLoad, TargetLoads
+from ._packets import Action, FlowKey, Forward, Packet, Reset
+from ._placement import Candidate, pick_service, pick_target
+
+__all__ = [
+    "Action",
+    "Candidate",
+    "Flow",
+    "FlowKey",
+    "FlowTable",
+    "Forward",
+    "Forwarder",
+    "LoadDigest",
+    "Packet",
+    "Reset",
+    "TargetHealth",
+    "TargetLoad",
+    "TargetLoads",
+    "pick_service",
+    "pick_target",
+]
--- /dev/null
+++ b/mulberryswitch/forwarding/_flows.py
@@ -0,0 +1,212 @@
+"""Flows that pass this VM, as far as callers' packets show them.
+
+The table is only a view: a VM that lacks a flow's entry forwards it by its token all the same.
+"""
+
+from dataclasses import dataclass
+
+from ._loads import TargetLoads
+from ._packets import FlowKey, Packet
+
+__all__ = ["Flow", "FlowTable"]
+
+MAX_FLOWS = 50_000
+# A flow that was closed stays known until its last packets have passed.
+CLOSED_LIFE_S = 1.0
+# Callers give an opening up after 1.4 s.
+OPENING_LIFE_S = 1.5
+SEQUENCE_MODULUS = 2**32
+HALF_SEQUENCE = 2**31
+
+
+def is_after(sequence: int, other: int) -> bool:
+    """Return whether `sequence` follows `other` modulo 2**32."""
+    return 0 < (sequence - other) % SEQUENCE_MODULUS < HALF_SEQUENCE
+
+
+def _get_life_s(flow: "Flow", idle_timeout_s: float) -> float:
+    if flow.is_closed:
+        return CLOSED_LIFE_S
+    return idle_timeout_s if flow.opening is None else OPENING_LIFE_S
+
+
+@dataclass(kw_only=True, slots=True)
+class Flow:
+    """One flow as this VM sees it.
+
+    Attributes
+    ----------
+    token : int
+        Names the target.
+    is_long : bool
+        It carries many requests.
+    opening : Packet or None
+        The packet that opens it, until the target has answered.
+    tried : tuple of str
+        Keys of the targets that the opening was sent to, the last one first.
+    sent_s : float
+        When the opening, or the newest payload, was first sent to the target.
+    position : int
+        Sequence number after the newest payload.
+    acknowledged : int
+        Newest position of the target's answers that the caller has acknowledged.
+    busy : bool
+        A request was sent and its answer has not been acknowledged.
+    repeats : int
+        How often the caller has repeated the newest payload.
+    """
+
+    token: int
+    is_long: bool
+    opened_s: float
+    seen_s: float
+    sent_s: float
+    opening: Packet | None = None
+    tried: tuple[str, ...] = ()
+    position: int = 0
+    acknowledged: int = 0
+    busy: bool = False
+    repeats: int = 0
+    is_closed: bool = False
+
+
+class FlowTable:
+    """Flows by key; keeps the counts of `loads` in step with them."""
+
+    def __init__(self, *, loads: TargetLoads, max_flows: int = MAX_FLOWS):
+        self.loads = loads
+        self.max_flows = max_flows
+        self.flows: dict[FlowKey, Flow] = {}
+        self.openings: dict[FlowKey, Flow] = {}
+
+    def find(self, key: FlowKey) -> Flow | None:
+        """Return the flow of `key`."""
+        return self.flows.get(key)
+
+    def apply_opening(
+        self, *, packet: Packet, token: int, target: str, is_long: bool, now_s: float
+    ) -> None:
+        """A flow was placed, or placed again on another target."""
+        former = self.flows.get(packet.flow)
+        tried = (target, *(former.tried if former else ()))
+        opened_s = former.opened_s if former else now_s
+        self.remove(packet.flow)
+        if len(self.flows) >= self.max_flows:
+            return
+        flow = Flow(
+            token=token,
+            is_long=is_long,
+            opened_s=opened_s,
+            seen_s=now_s,
+            sent_s=now_s,
+            opening=packet,
+            tried=tried,
+        )
+        self.flows[packet.flow] = self.openings[packet.flow] = flow
+        load = self.loads.find(token)
+        load.openings += 1
+        load.long_flows += is_long
+
+    def apply_packet(self, *, packet: Packet, is_long: bool, now_s: float) -> Flow | None:
+        """Take in a packet of an open flow; return the flow, None if the table is full."""
+        flow = self.flows.get(packet.flow)
+        if flow is not None and packet.token != flow.token:
+            self.remove(packet.flow)
+            flow = None
+        if flow is None:
+            flow = self._add_open(packet, is_long, now_s)
+            if flow is None:
+                return None
+        elif flow.opening is not None:
+            self._finish_opening(packet, flow, now_s)
+        flow.seen_s = now_s
+        self._observe_answer(packet, flow, now_s)
+        if packet.payload_bytes:
+            self._observe_payload(packet, flow, now_s)
+        if packet.finishes or packet.resets:
+            self._close(flow)
+        return flow
+
+    def remove(self, key: FlowKey) -> None:
+        """Forget a flow."""
+        flow = self.flows.pop(key, None)
+        if flow is None:
+            return
+        if self.openings.pop(key, None) is not None:
+            self.loads.find(flow.token).openings -= 1
+        self._close(flow)
+
+    def prune(self, *, now_s: float, idle_timeout_s: float) -> None:
+        """Forget flows that were closed or are idle."""
+        old = [
+            key
+            for key, flow in self.flows.items()
+            if now_s - flow.seen_s > _get_life_s(flow, idle_timeout_s)
+        ]
+        for key in old:
+            self.remove(key)
+
+    def apply_pause(self, now_s: float) -> None:
+        """Restart the clocks of all flows: this process was paused and answers may wait unread."""
+        for flow in self.flows.values():
+            flow.sent_s = now_s
+            flow.repeats = 0
+
+    def _add_open(self, packet: Packet, is_long: bool, now_s: float) -> Flow | None:
+        if len(self.flows) >= self.max_flows:
+            return None
+        flow = Flow(
+            token=packet.token,
+            is_long=is_long,
+            opened_s=now_s,
+            seen_s=now_s,
+            sent_s=now_s,
+            position=packet.sequence,
+            acknowledged=packet.acknowledged,
+        )
+        self.flows[packet.flow] = flow
+        self.loads.find(packet.token).long_flows += is_long
+        return flow
+
+    def _finish_opening(self, packet: Packet, flow: Flow, now_s: float) -> None:
+        load = self.loads.find(flow.token)
+        load.openings -= 1
+        load.health.observe_answer(now_s)
+        del self.openings[packet.flow]
+        flow.opening = None
+        flow.position = packet.sequence
+        flow.acknowledged = packet.acknowledged
+
+    def _observe_answer(self, packet: Packet, flow: Flow, now_s: float) -> None:
+        if not packet.acknowledges or not is_after(packet.acknowledged, flow.acknowledged):
+            return
+        load = self.loads.find(flow.token)
+        load.health.observe_answer(now_s)
+        flow.acknowledged = packet.acknowledged
+        flow.repeats = 0
+        if flow.busy:
+            load.observe_service(now_s - flow.sent_s)
+            self._set_busy(flow, False)
+
+    def _observe_payload(self, packet: Packet, flow: Flow, now_s: float) -> None:
+        end = (packet.sequence + packet.payload_bytes) % SEQUENCE_MODULUS
+        if is_after(end, flow.position):
+            flow.position = end
+            flow.repeats = 0
+            if not flow.busy:
+                flow.sent_s = now_s
+                self._set_busy(flow, True)
+        elif end == flow.position and flow.busy:
+            flow.repeats += 1
+
+    def _set_busy(self, flow: Flow, busy: bool) -> None:
+        if flow.busy != busy:
+            flow.busy = busy
+            self.loads.find(flow.token).busy += 1 if busy else -1
+
+    def _close(self, flow: Flow) -> None:
+        if flow.is_closed:
+            return
+        self._set_busy(flow, False)
+        flow.is_closed = True
+        self.loads.find(flow.token).long_flows -= flow.is_long
--- /dev/null
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -0,0 +1,245 @@
+"""Decision on each packet of a caller: send it to a target, reset its flow, hold or drop it."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from mulberryswitch.directory import (
+    NO_TOKEN,
+    Directory,
+    Route,
+    Target,
+    TrafficKind,
+    build_token,
+)
+
+from ._flows import Flow, FlowTable
+from ._loads import TargetLoads
+from ._packets import Action, FlowKey, Forward, Packet, Reset
+from ._placement import Candidate, pick_service, pick_target
+
+__all__ = ["Forwarder"]
+
+# A target answers within 10 ms of a hop between zones and the caller's link; an opening without
+# an answer for longer was lost, or the target is dark.
+OPENING_TIMEOUT_S = 0.06
+MAX_PLACEMENTS = 4
+# A VM that starts keeps openings for a configuration as long as callers wait for an answer.
+HOLD_S = 1.2
+MAX_HELD = 2_000
+# Silence of a target after which an open flow to it is reset so that its caller tries again.
+DARK_SILENCE_S = 0.5
+# Another VM may know a target that this one has not heard of yet.
+UNKNOWN_TOKEN_S = 1.0
+COLD_SPEED = 0.6
+# A loop that stood still for longer has packets waiting that explain the silence.
+PAUSE_S = 0.3
+PRUNE_EVERY_S = 0.5
+# Requests in flight that an open long flow stands for.
+LONG_FLOW_WORK = 0.05
+
+log = logging.getLogger("forwarding")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Held:
+    """An opening that waits for the first configuration."""
+
+    packet: Packet
+    since_s: float
+
+
+class Forwarder:
+    """State and decisions of one VM's packet path.
+
+    Parameters
+    ----------
+    directory : Directory
+        Routes and targets in force.
+    zone : str
+        Availability zone of this VM.
+    rng : Random
+        Source of the choices between equal targets.
+    count : callable
+        ``count(name, amount)`` adds to a counter.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        zone: str,
+        rng: Random,
+        count: Callable[[str, int], None],
+    ):
+        self.directory = directory
+        self.zone = zone
+        self.rng = rng
+        self.count = count
+        self.loads = TargetLoads()
+        self.flows = FlowTable(loads=self.loads)
+        self._held: dict[FlowKey, _Held] = {}
+        self._last_tick_s: float | None = None
+        self._pruned_s = 0.0
+
+    # Packets
+
+    def observe_packet(self, *, packet: Packet, now_s: float) -> list[Action]:
+        """Return what to do with a packet of a caller."""
+        if packet.opens:
+            return self._observe_opening(packet, now_s)
+        route = self.directory.routes.get(packet.route_key)
+        if route is None and packet.route_key in self.directory.removed_routes:
+            self.flows.remove(packet.flow)
+            return self._reset(packet, "route removed")
+        target = self.directory.find_target(packet.token)
+        if target is None:
+            return self._follow_departed(packet, now_s)
+        is_long = route is not None and route.kind is TrafficKind.IDEMPOTENT
+        flow = self.flows.apply_packet(packet=packet, is_long=is_long, now_s=now_s)
+        if flow is not None and route is not None and self._is_dark(flow, route, now_s):
+            self.flows.remove(packet.flow)
+            return self._reset(packet, "target silent")
+        return [Forward(packet=packet, target=target)]
+
+    def _observe_opening(self, packet: Packet, now_s: float) -> list[Action]:
+        if not self.directory.is_loaded:
+            self._hold(packet, now_s)
+            return []
+        route = self.directory.routes.get(packet.route_key)
+        if route is None:
+            return self._reset(packet, "no route")
+        flow = self.flows.find(packet.flow)
+        if flow is not None and flow.opening is not None:
+            if now_s - flow.sent_s < OPENING_TIMEOUT_S or len(flow.tried) >= MAX_PLACEMENTS:
+                return self._repeat(packet, flow)
+            return self._place_again(packet, route, flow, now_s)
+        if flow is not None and not flow.is_closed:
+            return self._repeat(packet, flow)
+        return self._place(packet, route, (), now_s)
+
+    def _repeat(self, packet: Packet, flow: Flow) -> list[Action]:
+        target = self.directory.find_target(flow.token)
+        return [Forward(packet=packet, target=target, token=flow.token)] if target else []
+
+    def _place_again(self, packet: Packet, route: Route, flow: Flow, now_s: float) -> list[Action]:
+        ejected = self.loads.find(flow.token).health.observe_silence(
+            since_s=flow.sent_s, now_s=now_s
+        )
+        self.count("openings_unanswered", 1)
+        if ejected:
+            log.warning(
+                "target does not answer, no new flows for a while",
+                extra={"target": flow.tried[0], "waited_s": round(now_s - flow.sent_s, 3)},
+            )
+        return self._place(packet, route, flow.tried, now_s)
+
+    def _place(
+        self, packet: Packet, route: Route, tried: tuple[str, ...], now_s: float
+    ) -> list[Action]:
+        service = pick_service(route=route, flow=packet.flow)
+        serving = self.directory.list_serving(service, now_s)
+        candidates = [self._rate(target, now_s) for target in serving]
+        target = pick_target(candidates=candidates, zone=self.zone, tried=tried, rng=self.rng)
+        if target is None:
+            return self._reset(packet, "no target")
+        token = build_token(target.identity)
+        self.flows.apply_opening(
+            packet=packet,
+            token=token,
+            target=target.key,
+            is_long=route.kind is TrafficKind.IDEMPOTENT,
+            now_s=now_s,
+        )
+        self.count("flows_placed", 1)
+        return [Forward(packet=packet, target=target, token=token)]
+
+    def _rate(self, target: Target, now_s: float) -> Candidate:
+        token = build_token(target.identity)
+        load = self.loads.find(token)
+        shared = self.loads.list_shared(token, now_s)
+        long_flows = load.long_flows + sum(digest.long_flows for digest in shared)
+        busy = load.busy + load.openings + sum(digest.busy for digest in shared)
+        is_cold = now_s < self.directory.cold_until_s.get(target.key, 0.0)
+        return Candidate(
+            target=target,
+            work=busy + LONG_FLOW_WORK * long_flows,
+            speed=COLD_SPEED if is_cold else 1.0,
+            is_ejected=now_s < load.health.ejected_until_s
+            or any(digest.silent for digest in shared),
+        )
+
+    def _is_dark(self, flow: Flow, route: Route, now_s: float) -> bool:
+        """Return whether the flow's target is silent and its caller had better try again."""
+        if not flow.repeats or not route.is_retried:
+            return False
+        health = self.loads.find(flow.token).health
+        if now_s - flow.sent_s < DARK_SILENCE_S or health.answered_s >= flow.sent_s:
+            return False
+        health.observe_silence(since_s=flow.sent_s, now_s=now_s)
+        return True
+
+    def _follow_departed(self, packet: Packet, now_s: float) -> list[Action]:
+        """Decide on a packet whose token names no listed target."""
+        if packet.token == NO_TOKEN or not self.directory.is_loaded:
+            return []
+        departure = self.directory.find_departure(packet.token)
+        if departure is not None and not departure.is_gone(now_s):
+            return [Forward(packet=packet, target=departure.target)]
+        flow = self.flows.apply_packet(packet=packet, is_long=False, now_s=now_s)
+        if departure is None and (flow is None or now_s - flow.opened_s < UNKNOWN_TOKEN_S):
+            self.count("packets_of_unknown_targets", 1)
+            return []
+        self.flows.remove(packet.flow)
+        return self._reset(packet, "target gone")
+
+    def _reset(self, packet: Packet, reason: str) -> list[Action]:
+        if packet.resets:
+            return []
+        self.count("flows_reset", 1)
+        log.info("flow reset", extra={"flow": packet.flow, "reason": reason})
+        return [Reset(packet=packet)]
+
+    # Time
+
+    def observe_change(self, now_s: float) -> list[Action]:
+        """The directory has changed: place the openings that waited for it."""
+        held = list(self._held.values())
+        if not self.directory.is_loaded or not held:
+            return []
+        self._held.clear()
+        return [
+            action
+            for item in held
+            if now_s - item.since_s <= HOLD_S
+            for action in self._observe_opening(item.packet, now_s)
+        ]
+
+    def decide_tick(self, *, now_s: float) -> list[Action]:
+        """Return what is due: openings without an answer go to another target."""
+        last_s, self._last_tick_s = self._last_tick_s, now_s
+        if last_s is not None and now_s - last_s > PAUSE_S:
+            self.flows.apply_pause(now_s)
+            return []
+        if now_s - self._pruned_s >= PRUNE_EVERY_S:
+            self._prune(now_s)
+        late = [
+            flow.opening
+            for flow in self.flows.openings.values()
+            if now_s - flow.sent_s >= OPENING_TIMEOUT_S and len(flow.tried) < MAX_PLACEMENTS
+        ]
+        return [action for packet in late for action in self._observe_opening(packet, now_s)]
+
+    def _prune(self, now_s: float) -> None:
+        self._pruned_s = now_s
+        self.flows.prune(now_s=now_s, idle_timeout_s=self.directory.idle_timeout_s)
+        self.loads.drop_unknown(self.directory.by_token, now_s)
+        self._held = {
+            key: held for key, held in self._held.items() if now_s - held.since_s <= HOLD_S
+        }
+
+    def _hold(self, packet: Packet, now_s: float) -> None:
+        if packet.flow in self._held or len(self._held) < MAX_HELD:
+            self._held[packet.flow] = _Held(packet=packet, since_s=now_s)
+            self.count("openings_held", 1)
--- a/mulberryswitch/observability/__init__.py
+++ b/mulberryswitch/observability/__init__.py
@@ -1,14 +1,22 @@
 """Logs, metrics and traces."""
 
-from ._logs import RateLimitFilter, configure_logs
+from mulberryswitch._lazy import build_lazy_getter
+
+from ._logs import NonBlockingHandler, RateLimitFilter, configure_logs
 from ._metrics import Metrics
-from ._tracing import RecordHop, build_hop_recorder, record_no_hop
 
 __all__ = [
     "Metrics",
+    "NonBlockingHandler",
     "RateLimitFilter",
     "RecordHop",
     "build_hop_recorder",
     "configure_logs",
     "record_no_hop",
 ]
+
+# OpenTelemetry is imported by the parts that record spans.
+__getattr__ = build_lazy_getter(
+    __name__,
+    dict.fromkeys(("RecordHop", "build_hop_recorder", "record_no_hop"), "_tracing"),
+)
--- a/mulberryswitch/observability/_logs.py
+++ b/mulberryswitch/observability/_logs.py
@@ -1,12 +1,14 @@
 """JSON logs with a rate limit per message, so that a fault cannot flood the log."""
 
+import contextlib
 import logging
+import os
 import time
 from collections.abc import Callable
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["RateLimitFilter", "configure_logs"]
+__all__ = ["NonBlockingHandler", "RateLimitFilter", "configure_logs"]
 
 MAX_RECORDS_PER_WINDOW = 20
 WINDOW_S = 10.0
@@ -46,9 +48,67 @@
         return count < self.limit
 
 
-def configure_logs(*, level: str, vm: str) -> None:
-    """Write JSON lines to standard error, each with the VM's name."""
-    handler = logging.StreamHandler()
+class NonBlockingHandler(logging.Handler):
+    """Write lines to a descriptor and drop what a slow reader does not take.
+
+    The first line after a loss carries ``dropped``, the number of lines that were lost.
+
+    Parameters
+    ----------
+    descriptor : int
+        Open file descriptor; it is made non-blocking.
+    """
+
+    def __init__(self, *, descriptor: int):
+        super().__init__()
+        self.descriptor = descriptor
+        self.dropped = 0
+        self._rest = b""
+        with contextlib.suppress(OSError):
+            os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write `record`, or count it as dropped."""
+        try:
+            self._flush_rest()
+            if self._rest:
+                self.dropped += 1
+                return
+            if self.dropped:
+                record.dropped = self.dropped
+            self._rest = (self.format(record) + "\n").encode()
+            self.dropped = 0
+            self._flush_rest()
+        except OSError:
+            # Nobody reads the log any more; the packet path goes on.
+            self._rest = b""
+            self.dropped += 1
+        except Exception:  # a record with fields that cannot be written
+            self.handleError(record)
+
+    def _flush_rest(self) -> None:
+        if not self._rest:
+            return
+        try:
+            written = os.write(self.descriptor, self._rest)
+        except BlockingIOError:
+            return
+        self._rest = self._rest[written:]
+
+
+def configure_logs(*, level: str, vm: str, handler: logging.Handler | None = None) -> None:
+    """Write JSON lines, each with the VM's name.
+
+    Parameters
+    ----------
+    level : str
+        Lowest level that is written.
+    vm : str
+        Name of this VM.
+    handler : logging.Handler, optional
+        Where the lines go; standard error by default.
+    """
+    handler = handler or logging.StreamHandler()
     handler.addFilter(RateLimitFilter())
     handler.setFormatter(
         JsonFormatter(
--- /dev/null
+++ b/mulberryswitch/platform/__main__.py
@@ -0,0 +1,39 @@
+"""Run a VM on the users' platform with ``python -m mulberryswitch.platform``."""
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+# A signal that comes while the libraries load must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from mulberryswitch.front import FrontSettingsError, run_front  # noqa: E402
+from mulberryswitch.observability import NonBlockingHandler, configure_logs  # noqa: E402
+
+from ._adapter import ADAPTER, SETTINGS_VARIABLE  # noqa: E402
+
+EXIT_BAD_SETTINGS = 2
+
+log = logging.getLogger("front")
+
+
+def main() -> int:
+    """Read the settings file and run until the process is asked to stop."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    handler = NonBlockingHandler(descriptor=sys.stdout.fileno())
+    try:
+        settings = ADAPTER.parse_settings(path.read_text())
+    except (OSError, ValueError, FrontSettingsError) as exc:
+        configure_logs(level="info", vm="", handler=handler)
+        log.error("settings cannot be used", extra={"path": str(path), "error": str(exc)})
+        return EXIT_BAD_SETTINGS
+    configure_logs(level="info", vm=settings.vm, handler=handler)
+    asyncio.run(run_front(settings_path=path, adapter=ADAPTER, settings=settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/mulberryswitch/platform/_adapter.py
@@ -0,0 +1,21 @@
+"""The translations of this folder as the daemon takes them."""
+
+from mulberryswitch.front import Adapter
+
+from ._packets import decode_packet, encode_forward, encode_reset
+from ._records import decode_record
+from ._settings import parse_settings
+from ._store import StoreClient
+
+__all__ = ["ADAPTER", "SETTINGS_VARIABLE"]
+
+SETTINGS_VARIABLE = "MULBERRYSWITCH_CONFIG"
+
+ADAPTER = Adapter(
+    parse_settings=parse_settings,
+    decode_record=decode_record,
+    decode_packet=decode_packet,
+    encode_forward=encode_forward,
+    encode_reset=encode_reset,
+    connect_store=lambda address: StoreClient(host=address.host, port=address.port),
+)
