Peers of the direct path: two VMs a zone read the store, the others learn from them

SWIM membership of the product finds the peers; readers announce revisions, load sums travel with the announcements.

--- a/mulberryswitch/configuration/__init__.py
+++ b/mulberryswitch/configuration/__init__.py
@@ -5,7 +5,7 @@
 from ._document import MAX_DOCUMENT_BYTES
 from ._errors import Problem, SheetProblem, SheetRefusedError
 from ._exchange import TICK_S, ConfigExchange, Outgoing
-from ._readers import ReadPlan, pick_readers
+from ._readers import ReadPlan
 from ._store import ConfigStore, Offer, RefusedSheet
 from ._validation import check_sheet
 
@@ -28,5 +28,4 @@
     "apply_delta",
     "build_delta",
     "check_sheet",
-    "pick_readers",
 ]
--- a/mulberryswitch/configuration/_exchange.py
+++ b/mulberryswitch/configuration/_exchange.py
@@ -13,13 +13,13 @@
     MemberState,
     ResultCode,
 )
-from mulberryswitch.vms import Member
+from mulberryswitch.vms import Member, pick_readers
 
 from ._bindings import Binding
 from ._delta import DeltaError, apply_delta
 from ._document import check_address, check_name, compute_digest
 from ._history import History, Kept
-from ._readers import PlatformReads, ReadPlan, pick_readers
+from ._readers import PlatformReads, ReadPlan
 from ._store import ConfigStore, Offer
 
 __all__ = ["TICK_S", "ConfigExchange", "Outgoing"]
--- a/mulberryswitch/configuration/_readers.py
+++ b/mulberryswitch/configuration/_readers.py
@@ -1,14 +1,10 @@
-"""Choice and timing of platform reads."""
+"""Timing of platform reads."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
-from mulberryswitch.vms import Member, rank_members
+__all__ = ["PlatformReads", "ReadPlan"]
 
-__all__ = ["PlatformReads", "ReadPlan", "pick_readers"]
-
-READERS_PER_ZONE = 2
 WATCH_S = 30.0
 READ_S = 5.0  # a read without a watch, and the margin of a watch, count as failed after this
 QUIET_S = 10.0
@@ -28,12 +24,6 @@
     wait_s: float
 
 
-def pick_readers(*, zone: str, members: Sequence[Member]) -> tuple[Member, ...]:
-    """Return the VMs of `zone` that watch the platform."""
-    near = (member for member in members if member.zone == zone)
-    return tuple(rank_members(key=f"config-reader|{zone}", members=near)[:READERS_PER_ZONE])
-
-
 class PlatformReads:
     """When this VM reads the platform."""
 
--- a/mulberryswitch/configuration/tests/test_exchange.py
+++ b/mulberryswitch/configuration/tests/test_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from random import Random
 
-from mulberryswitch.configuration import Binding, Outgoing, pick_readers
+from mulberryswitch.configuration import Binding, Outgoing
 from mulberryswitch.configuration._document import compute_digest
 from mulberryswitch.configuration._readers import PlatformReads
 from mulberryswitch.contracts import (
@@ -14,6 +14,7 @@
     ConfigPull,
     ResultCode,
 )
+from mulberryswitch.vms import pick_readers
 
 from .builders import Fleet, build_document, build_members, build_service
 
--- a/mulberryswitch/contracts/__init__.py
+++ b/mulberryswitch/contracts/__init__.py
@@ -4,6 +4,17 @@
 
 from ._codec import Codec, DecodeError
 from ._codes import ResultCode, is_refusal, is_unknown
+from ._feed import (
+    FEED_CODEC,
+    MAX_PULL_BYTES,
+    PULL_CODEC,
+    DirectoryPart,
+    DirectoryPull,
+    FeedAnnounce,
+    LoadEntry,
+    LoadShare,
+    ZoneLoads,
+)
 from ._messages import (
     MAX_HOPS,
     MAX_PEER_FRAME_BYTES,
@@ -60,6 +71,15 @@
 )
 
 __all__ = [
+    "DirectoryPart",
+    "DirectoryPull",
+    "FEED_CODEC",
+    "FeedAnnounce",
+    "LoadEntry",
+    "LoadShare",
+    "MAX_PULL_BYTES",
+    "PULL_CODEC",
+    "ZoneLoads",
     "Ack",
     "Announce",
     "AnswerPiece",
--- /dev/null
+++ b/mulberryswitch/contracts/_feed.py
@@ -0,0 +1,98 @@
+"""Messages of the direct path between VMs: who knows which revision, and how targets are loaded."""
+
+from dataclasses import dataclass
+
+from ._codec import Codec
+from ._messages import Ack, Ping, PingRequest
+
+__all__ = [
+    "FEED_CODEC",
+    "MAX_PULL_BYTES",
+    "PULL_CODEC",
+    "DirectoryPart",
+    "DirectoryPull",
+    "FeedAnnounce",
+    "LoadEntry",
+    "LoadShare",
+    "ZoneLoads",
+]
+
+MAX_FEED_BYTES = 60_000
+MAX_PULL_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadEntry:
+    """Flows and requests in flight at the target that `token` names.
+
+    `silent` is set when the target does not answer.
+    """
+
+    token: int
+    long_flows: int
+    busy: int
+    silent: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ZoneLoads:
+    """Sum over the VMs of one availability zone."""
+
+    zone: str
+    entries: tuple[LoadEntry, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FeedAnnounce:
+    """What the sender knows of the store.
+
+    `fleet` tells deployments apart. `age_ms` is the time since the store confirmed `revision` to a
+    VM that reads it. A sender that holds nothing announces revision 0, which asks the receiver for
+    its own announcement.
+    """
+
+    fleet: str
+    vm: str
+    zone: str
+    revision: int
+    age_ms: int
+    is_reader: bool
+    loads: tuple[ZoneLoads, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadShare:
+    """One VM's share of the load, for the readers of its zone."""
+
+    fleet: str
+    vm: str
+    zone: str
+    entries: tuple[LoadEntry, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DirectoryPull:
+    """Ask for the changes after revision `after`."""
+
+    fleet: str
+    after: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DirectoryPart:
+    """Answer to a pull: the changes after `after`, or everything if `is_whole`.
+
+    `packed` holds compressed msgpack of the records.
+    """
+
+    revision: int
+    after: int
+    is_whole: bool
+    packed: bytes
+
+
+FEED_CODEC = Codec(
+    kinds={1: Ping, 2: PingRequest, 3: Ack, 4: FeedAnnounce, 5: LoadShare},
+    max_bytes=MAX_FEED_BYTES,
+)
+PULL_CODEC = Codec(kinds={1: DirectoryPull, 2: DirectoryPart}, max_bytes=MAX_PULL_BYTES)
--- a/mulberryswitch/directory/__init__.py
+++ b/mulberryswitch/directory/__init__.py
@@ -1,6 +1,7 @@
 """Routes and targets in force, as the platform's store publishes them."""
 
 from ._directory import Departure, Directory
+from ._feed import Feed, Source
 from ._reading import Pause, ReadAll, ReadPlanner, Watch
 from ._records import DecodeRecord, Manifest, Record, Route, RouteKey, Target, TrafficKind
 from ._tokens import NO_TOKEN, build_token
@@ -10,6 +11,7 @@
     "DecodeRecord",
     "Departure",
     "Directory",
+    "Feed",
     "Manifest",
     "Pause",
     "ReadAll",
@@ -17,6 +19,7 @@
     "Record",
     "Route",
     "RouteKey",
+    "Source",
     "Target",
     "TrafficKind",
     "Watch",
--- a/mulberryswitch/forwarding/__init__.py
+++ b/mulberryswitch/forwarding/__init__.py
@@ -2,7 +2,7 @@
 
 from ._flows import Flow, FlowTable
 from ._forwarder import Forwarder
-from ._loads import LoadDigest, TargetHealth, TargetLoad, TargetLoads
+from ._loads import TargetHealth, TargetLoad, TargetLoads, subtract_entries
 from ._packets import Action, FlowKey, Forward, Packet, Reset
 from ._placement import Candidate, pick_service, pick_target
 
@@ -14,7 +14,6 @@
     "FlowTable",
     "Forward",
     "Forwarder",
-    "LoadDigest",
     "Packet",
     "Reset",
     "TargetHealth",
@@ -22,4 +21,5 @@
     "TargetLoads",
     "pick_service",
     "pick_target",
+    "subtract_entries",
 ]
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -1,9 +1,12 @@
 """What callers' packets tell about the load and the health of targets."""
 
+import itertools
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-__all__ = ["LoadDigest", "TargetHealth", "TargetLoad", "TargetLoads"]
+from mulberryswitch.contracts import LoadEntry
+
+__all__ = ["TargetHealth", "TargetLoad", "TargetLoads", "add_entries", "subtract_entries"]
 
 # Weight of a new sample of the service time.
 SAMPLE_WEIGHT = 0.1
@@ -11,18 +14,36 @@
 SILENT_FAILURES = 2
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
-# A digest of a peer is worthless when its VM no longer speaks.
-DIGEST_LIFE_S = 1.5
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LoadDigest:
-    """Load of one target as other VMs see it; `silent` is set when one of them ejected it."""
-
-    token: int
-    long_flows: int
-    busy: int
-    silent: bool
+# What a VM said is worthless when it no longer speaks.
+SHARE_LIFE_S = 1.5
+
+
+def add_entries(first: LoadEntry, second: LoadEntry) -> LoadEntry:
+    """Return the sum of two loads of one target."""
+    return LoadEntry(
+        token=first.token,
+        long_flows=first.long_flows + second.long_flows,
+        busy=first.busy + second.busy,
+        silent=first.silent or second.silent,
+    )
+
+
+def subtract_entries(entries: Iterable[LoadEntry], share: Iterable[LoadEntry]) -> list[LoadEntry]:
+    """Return a zone's loads without the share of one of its VMs."""
+    own = {entry.token: entry for entry in share}
+    return [
+        (
+            LoadEntry(
+                token=entry.token,
+                long_flows=max(0, entry.long_flows - own[entry.token].long_flows),
+                busy=max(0, entry.busy - own[entry.token].busy),
+                silent=entry.silent,
+            )
+            if entry.token in own
+            else entry
+        )
+        for entry in entries
+    ]
 
 
 @dataclass(kw_only=True, slots=True)
@@ -77,11 +98,12 @@
 
 
 class TargetLoads:
-    """Loads by token, with the digests of peers."""
+    """Loads by token, as this VM and its peers see them."""
 
     def __init__(self) -> None:
         self._loads: dict[int, TargetLoad] = {}
-        self._digests: dict[str, tuple[float, Mapping[int, LoadDigest]]] = {}
+        self._shares: dict[str, tuple[float, Mapping[int, LoadEntry]]] = {}
+        self._zones: dict[str, tuple[float, Mapping[int, LoadEntry]]] = {}
 
     def find(self, token: int) -> TargetLoad:
         """Return the load of the target that `token` names."""
@@ -90,22 +112,45 @@
             load = self._loads[token] = TargetLoad()
         return load
 
-    def observe_digest(self, *, peer: str, loads: Iterable[LoadDigest], now_s: float) -> None:
-        """Take in what `peer` sees, in place of what it said before."""
-        self._digests[peer] = (now_s, {load.token: load for load in loads})
+    def observe_share(self, *, vm: str, entries: Iterable[LoadEntry], now_s: float) -> None:
+        """Take in the share of a VM of this zone."""
+        self._shares[vm] = (now_s, {entry.token: entry for entry in entries})
+
+    def observe_zone(self, *, zone: str, entries: Iterable[LoadEntry], now_s: float) -> None:
+        """Take in the sum over a zone, in place of what was known of it."""
+        self._zones[zone] = (now_s, {entry.token: entry for entry in entries})
 
-    def list_shared(self, token: int, now_s: float) -> list[LoadDigest]:
+    def list_shared(self, token: int, now_s: float) -> list[LoadEntry]:
         """Return what peers see of a target."""
         return [
-            loads[token]
-            for seen_s, loads in self._digests.values()
-            if now_s - seen_s <= DIGEST_LIFE_S and token in loads
+            entries[token]
+            for seen_s, entries in itertools.chain(self._shares.values(), self._zones.values())
+            if now_s - seen_s <= SHARE_LIFE_S and token in entries
         ]
 
-    def build_digest(self, now_s: float) -> list[LoadDigest]:
-        """Return what peers have to know of this VM's flows."""
+    def list_zones(self, now_s: float) -> list[tuple[str, list[LoadEntry]]]:
+        """Return the sums that were heard of zones."""
         return [
-            LoadDigest(
+            (zone, list(entries.values()))
+            for zone, (seen_s, entries) in self._zones.items()
+            if now_s - seen_s <= SHARE_LIFE_S
+        ]
+
+    def build_zone(self, now_s: float) -> list[LoadEntry]:
+        """Return the sum over the VMs of this zone, this one included."""
+        shares = [
+            entries.values() for s, entries in self._shares.values() if now_s - s <= SHARE_LIFE_S
+        ]
+        sums: dict[int, LoadEntry] = {}
+        for entry in itertools.chain(self.build_share(now_s), *shares):
+            known = sums.get(entry.token)
+            sums[entry.token] = entry if known is None else add_entries(known, entry)
+        return list(sums.values())
+
+    def build_share(self, now_s: float) -> list[LoadEntry]:
+        """Return this VM's share."""
+        return [
+            LoadEntry(
                 token=token,
                 long_flows=load.long_flows,
                 busy=load.busy,
@@ -123,6 +168,6 @@
             for token, load in self._loads.items()
             if token in kept or load.long_flows or load.busy or load.openings
         }
-        self._digests = {
-            peer: item for peer, item in self._digests.items() if now_s - item[0] <= DIGEST_LIFE_S
-        }
+        for seen in (self._shares, self._zones):
+            for name in [n for n, (seen_s, _) in seen.items() if now_s - seen_s > SHARE_LIFE_S]:
+                del seen[name]
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -14,6 +14,7 @@
 from mulberryswitch.transport import DatagramSocket, HttpServer
 
 from ._pages import Pages
+from ._peers import Peers
 from ._settings import Adapter, FrontSettings, FrontSettingsError
 from ._store_reader import StoreReader
 
@@ -69,6 +70,17 @@
             clock=self.clock,
             report_change=self._observe_change,
             count=self.metrics.count,
+            is_needed=lambda: self.peers.is_reader(),
+        )
+        self.peers = Peers(
+            settings=settings,
+            directory=self.directory,
+            loads=self.forwarder.loads,
+            get_confirmed_s=lambda: self.reader.planner.confirmed_s,
+            report_change=self._observe_change,
+            count=self.metrics.count,
+            rng=rng,
+            clock=self.clock,
         )
         pages = Pages(front=self)
         self._servers = [
@@ -85,6 +97,7 @@
         """Take over new settings; addresses that this VM listens on stay until it restarts."""
         if settings.store_address != self.settings.store_address:
             self.reader.replace_store(self.adapter.connect_store(settings.store_address))
+        self.peers.apply_seeds(settings.seeds)
         self.settings = replace(
             self.settings,
             seeds=settings.seeds,
@@ -97,18 +110,21 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set and the flows have moved to other VMs."""
         self._packets.start()
+        await self.peers.start()
         for server in self._servers:
             await server.start()
         log.info("started", extra={"zone": self.settings.zone})
         try:
             async with asyncio.TaskGroup() as group:
-                tasks = [group.create_task(self._tick()), group.create_task(self.reader.run())]
+                steps = (self._tick(), self.peers.run(), self.reader.run())
+                tasks = [group.create_task(step) for step in steps]
                 await stop.wait()
                 await self._shut_down()
                 for task in tasks:
                     task.cancel()
         finally:
             self._packets.stop()
+            self.peers.stop()
             for server in self._servers:
                 server.stop()
             log.info("stopped", extra={"packets": self.metrics.counts["packets"]})
@@ -116,6 +132,7 @@
     async def _shut_down(self) -> None:
         """Leave the rotation, and forward until no packets come or the time is up."""
         self.is_stopping = True
+        self.peers.leave()
         started_s = self.clock()
         end_s = started_s + max(0.0, self.settings.shutdown_s - SHUTDOWN_MARGIN_S)
         log.info("stopping", extra={"until_s": round(end_s - started_s, 3)})
@@ -150,6 +167,7 @@
                 self._packets.send(data, address)
 
     def _observe_change(self) -> None:
+        self.peers.announce_now()
         self._perform(self.forwarder.observe_change(self.clock()))
 
 
--- /dev/null
+++ b/mulberryswitch/front/_peers.py
@@ -0,0 +1,391 @@
+"""The task that speaks with the other VMs: membership, announcements and pulls."""
+
+import asyncio
+import logging
+import time
+import zlib
+from collections.abc import Callable, Iterable
+from random import Random
+
+import msgpack
+
+from mulberryswitch.contracts import (
+    FEED_CODEC,
+    MAX_PULL_BYTES,
+    PULL_CODEC,
+    DecodeError,
+    DirectoryPart,
+    DirectoryPull,
+    FeedAnnounce,
+    LoadShare,
+    ZoneLoads,
+)
+from mulberryswitch.directory import Directory, Feed, Record, Source
+from mulberryswitch.forwarding import TargetLoads, subtract_entries
+from mulberryswitch.transport import (
+    DatagramSocket,
+    parse_endpoint,
+    read_messages,
+    write_messages,
+)
+from mulberryswitch.vms import Membership
+
+from ._settings import Address, FrontSettings
+
+__all__ = ["Peers"]
+
+TICK_S = 0.1
+ANNOUNCE_S = 0.3
+SHARE_S = 0.3
+ASK_S = 0.2
+PULL_TIMEOUT_S = 1.0
+ASKED_PEERS = 3
+# Entries of one datagram; the busiest targets matter most.
+MAX_LOAD_ENTRIES = 100
+
+log = logging.getLogger("peers")
+
+
+def pack_records(records: Iterable[Record]) -> bytes:
+    """Return records compressed for a pull."""
+    rows = [(r.key, r.revision, r.created_revision, r.value) for r in records]
+    return zlib.compress(msgpack.packb(rows), level=1)
+
+
+def unpack_records(packed: bytes) -> list[Record]:
+    """Return the records of a pull.
+
+    Raises
+    ------
+    DecodeError
+        If the bytes are not what ``pack_records`` returns, or too many.
+    """
+    try:
+        unzip = zlib.decompressobj()
+        data = unzip.decompress(packed, MAX_PULL_BYTES)
+        if unzip.unconsumed_tail:
+            raise DecodeError(f"records of more than {MAX_PULL_BYTES} bytes")
+        return [_build_record(*row) for row in msgpack.unpackb(data)]
+    except DecodeError:
+        raise
+    except Exception as exc:  # zlib and msgpack raise unrelated types on bad input
+        raise DecodeError(f"bad records: {type(exc).__name__}") from exc
+
+
+def _build_record(key: str, revision: int, created: int, value: bytes | None) -> Record:
+    if (type(key), type(revision), type(created)) != (str, int, int):
+        raise DecodeError("a record has fields of the wrong type")
+    if value is not None and type(value) is not bytes:
+        raise DecodeError("a record has a value that is no bytes")
+    return Record(key=key, revision=revision, created_revision=created, value=value)
+
+
+class Peers:
+    """Owner of the sockets to other VMs.
+
+    Parameters
+    ----------
+    settings : FrontSettings
+    directory : Directory
+    loads : TargetLoads
+    get_confirmed_s : callable
+        Returns when this VM last read the store, None if never.
+    report_change : callable
+        Called after the directory has changed.
+    count : callable
+        ``count(name, amount)`` adds to a counter.
+    rng : Random
+    clock : callable
+        Returns seconds that never go back.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: FrontSettings,
+        directory: Directory,
+        loads: TargetLoads,
+        get_confirmed_s: Callable[[], float | None],
+        report_change: Callable[[], None],
+        count: Callable[[str, int], None],
+        rng: Random,
+        clock: Callable[[], float],
+    ):
+        self.settings = settings
+        self.directory = directory
+        self.loads = loads
+        self.get_confirmed_s = get_confirmed_s
+        self.report_change = report_change
+        self.count = count
+        self.rng = rng
+        self.clock = clock
+        self.fleet = "{}:{}".format(*settings.store_address)
+        self.feed = Feed(vm=settings.vm, zone=settings.zone)
+        self.membership = Membership(
+            vm=settings.vm,
+            zone=settings.zone,
+            address="{}:{}".format(*settings.peer_address),
+            incarnation=int(time.time() * 1000),
+        )
+        self._socket = DatagramSocket(
+            host=settings.peer_address.host,
+            port=settings.peer_address.port,
+            receive=self._receive,
+        )
+        self._server: asyncio.Server | None = None
+        self._announced_s = float("-inf")
+        self._announced_revision = 0
+        self._shared_s = float("-inf")
+        self._asked_s = float("-inf")
+        self._was_reader = False
+
+    # Decisions that others ask for
+
+    def is_reader(self) -> bool:
+        """Return whether this VM has to read the store now."""
+        is_reader = self.feed.is_reader(
+            members=self.membership.live(), revision=self.directory.revision, now_s=self.clock()
+        )
+        if is_reader != self._was_reader:
+            self._was_reader = is_reader
+            log.info(
+                "reads the store" if is_reader else "learns from peers",
+                extra={
+                    "members": len(self.membership.live()),
+                    "revision": self.directory.revision,
+                },
+            )
+        return is_reader
+
+    def get_confirmed_age_s(self) -> float:
+        """Return how long ago the store confirmed this VM's revision to it or to a peer."""
+        now_s = self.clock()
+        own_s = self.get_confirmed_s()
+        heard_s = self.feed.get_confirmed_s(self.directory.revision)
+        return now_s - max(heard_s, float("-inf") if own_s is None else own_s)
+
+    # Task
+
+    async def start(self) -> None:
+        """Open the sockets."""
+        self._socket.start()
+        self._server = await asyncio.start_server(self._serve, *self.settings.peer_address)
+        self.apply_seeds(self.settings.seeds)
+
+    def apply_seeds(self, seeds: Iterable[Address]) -> None:
+        """Take over the seeds of the settings."""
+        addresses = ["{}:{}".format(*seed) for seed in seeds]
+        self.membership.observe_seeds(addresses=addresses, now_s=self.clock())
+
+    async def run(self) -> None:
+        """Announce, share and pull for ever."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_s = self.clock()
+            self._send_all(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+            self.feed.drop_old(self.membership.live(), now_s)
+            self._announce(now_s)
+            self._share(now_s)
+            self._ask(now_s)
+            await self._pull(now_s)
+
+    def announce_now(self) -> None:
+        """Announce a new revision without waiting for the next turn."""
+        if self._was_reader and self.directory.revision != self._announced_revision:
+            self._announced_s = float("-inf")
+            self._announce(self.clock())
+
+    def leave(self) -> None:
+        """Tell the others that this VM stops."""
+        self._send_all(self.membership.apply_leaving(now_s=self.clock()))
+
+    def stop(self) -> None:
+        """Close the sockets."""
+        self._socket.stop()
+        if self._server is not None:
+            self._server.close()
+
+    # Sending
+
+    def _send(self, address: str, message) -> None:
+        data = FEED_CODEC.encode(message)
+        self.count("peer_bytes", len(data))
+        self._socket.send(data, parse_endpoint(address))
+
+    def _send_all(self, sends) -> None:
+        for send in sends:
+            self._send(send.address, send.message)
+
+    def _build_announce(self, now_s: float, *, is_near: bool = False) -> FeedAnnounce:
+        """Return an announcement; what is known of other zones stays in this one."""
+        age_s = self.get_confirmed_age_s()
+        heard = self.loads.list_zones(now_s) if is_near else []
+        zones = [(zone, entries) for zone, entries in heard if zone != self.settings.zone]
+        own = (self.settings.zone, self.loads.build_zone(now_s))
+        return FeedAnnounce(
+            fleet=self.fleet,
+            vm=self.settings.vm,
+            zone=self.settings.zone,
+            revision=self.directory.revision,
+            age_ms=int(min(age_s, 3600.0) * 1000),
+            is_reader=self._was_reader,
+            loads=tuple(
+                ZoneLoads(zone=zone, entries=tuple(entries[:MAX_LOAD_ENTRIES]))
+                for zone, entries in [own, *zones]
+            ),
+        )
+
+    def _announce(self, now_s: float) -> None:
+        if not self._was_reader or not self.directory.revision:
+            return
+        if now_s - self._announced_s < ANNOUNCE_S:
+            return
+        self._announced_s = now_s
+        self._announced_revision = self.directory.revision
+        near = self._build_announce(now_s, is_near=True)
+        far = self._build_announce(now_s)
+        for member in self.feed.list_listeners(self.membership.live()):
+            self._send(member.address, near if member.zone == self.settings.zone else far)
+
+    def _share(self, now_s: float) -> None:
+        if now_s - self._shared_s < SHARE_S:
+            return
+        self._shared_s = now_s
+        share = LoadShare(
+            fleet=self.fleet,
+            vm=self.settings.vm,
+            zone=self.settings.zone,
+            entries=tuple(self.loads.build_share(now_s)[:MAX_LOAD_ENTRIES]),
+        )
+        for source in self.feed.list_near_readers(now_s):
+            self._send(source.address, share)
+
+    def _ask(self, now_s: float) -> None:
+        """Ask peers for what they know while this VM knows nothing."""
+        if self.directory.is_loaded or now_s - self._asked_s < ASK_S:
+            return
+        self._asked_s = now_s
+        others = [m.address for m in self.membership.live() if m.vm != self.settings.vm]
+        asked = self.rng.sample(others, min(ASKED_PEERS, len(others)))
+        seeds = ["{}:{}".format(*seed) for seed in self.settings.seeds]
+        own = "{}:{}".format(*self.settings.peer_address)
+        for address in {*asked, *seeds} - {own}:
+            self._send(address, self._build_announce(now_s))
+
+    # Receiving
+
+    def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
+        try:
+            message = FEED_CODEC.decode(data)
+        except DecodeError as exc:
+            self.count("peer_datagrams_refused", 1)
+            log.warning("peer datagram refused", extra={"sender": sender[0], "error": str(exc)})
+            return
+        now_s = self.clock()
+        address = f"{sender[0]}:{sender[1]}"
+        if isinstance(message, FeedAnnounce | LoadShare):
+            if message.fleet != self.fleet or message.vm == self.settings.vm:
+                return
+            if isinstance(message, FeedAnnounce):
+                self._observe_announce(message, address, now_s)
+            elif message.zone == self.settings.zone:
+                self.loads.observe_share(vm=message.vm, entries=message.entries, now_s=now_s)
+            return
+        self._send_all(
+            self.membership.observe_message(
+                message=message, sender_address=address, now_s=now_s, rng=self.rng
+            )
+        )
+
+    def _observe_announce(self, message: FeedAnnounce, address: str, now_s: float) -> None:
+        if not message.revision:
+            if self.directory.is_loaded:
+                self._send(address, self._build_announce(now_s))
+            return
+        self.feed.observe_announce(
+            Source(
+                vm=message.vm,
+                zone=message.zone,
+                address=address,
+                revision=message.revision,
+                heard_s=now_s,
+                confirmed_s=now_s - message.age_ms / 1000,
+                is_reader=message.is_reader,
+            )
+        )
+        if message.is_reader:
+            self._observe_loads(message, now_s)
+
+    def _observe_loads(self, message: FeedAnnounce, now_s: float) -> None:
+        is_near = message.zone == self.settings.zone
+        for loads in message.loads:
+            if loads.zone == self.settings.zone:
+                if is_near and not self._was_reader:
+                    entries = subtract_entries(loads.entries, self.loads.build_share(now_s))
+                    self.loads.observe_zone(zone=loads.zone, entries=entries, now_s=now_s)
+            elif is_near or loads.zone == message.zone:
+                # A zone's own reader knows it best; a near one only passes it on.
+                self.loads.observe_zone(zone=loads.zone, entries=loads.entries, now_s=now_s)
+
+    # Pulls
+
+    async def _pull(self, now_s: float) -> None:
+        source = self.feed.pick_source(revision=self.directory.revision, now_s=now_s)
+        if source is None:
+            return
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                part = await self._exchange(source.address)
+            records = unpack_records(part.packed)
+        except (OSError, DecodeError) as exc:
+            log.info("pull failed", extra={"peer": source.vm, "error": str(exc) or "timeout"})
+            self.feed.observe_pull_failure(vm=source.vm, now_s=self.clock())
+            return
+        self._apply(part, records, source)
+
+    def _apply(self, part: DirectoryPart, records: list[Record], source: Source) -> None:
+        apply = self.directory.apply_snapshot if part.is_whole else self.directory.apply_records
+        if not part.is_whole and part.after > self.directory.revision:
+            return
+        former = self.directory.revision
+        if apply(records=records, revision=part.revision, now_s=self.clock()):
+            self.report_change()
+        if self.directory.revision <= former:
+            self.feed.observe_pull_failure(vm=source.vm, now_s=self.clock())
+
+    async def _exchange(self, address: str) -> DirectoryPart:
+        reader, writer = await asyncio.open_connection(*parse_endpoint(address))
+        try:
+            pull = DirectoryPull(fleet=self.fleet, after=self.directory.revision)
+            write_messages(writer, PULL_CODEC, [pull])
+            async for messages in read_messages(reader, PULL_CODEC):
+                if isinstance(messages[0], DirectoryPart):
+                    return messages[0]
+            raise DecodeError("stream ended without an answer")
+        finally:
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                async for messages in read_messages(reader, PULL_CODEC):
+                    self._answer(messages[0], writer)
+                    await writer.drain()
+        except (OSError, DecodeError) as exc:
+            log.info("pull not served", extra={"error": str(exc) or type(exc).__name__})
+        finally:
+            writer.close()
+
+    def _answer(self, pull, writer: asyncio.StreamWriter) -> None:
+        if not isinstance(pull, DirectoryPull) or pull.fleet != self.fleet:
+            raise DecodeError("not a pull of this fleet")
+        changes = self.directory.list_changes(pull.after)
+        is_whole = changes is None
+        part = DirectoryPart(
+            revision=self.directory.revision,
+            after=pull.after,
+            is_whole=is_whole,
+            packed=pack_records(self.directory.list_records() if is_whole else changes),
+        )
+        self.count("pulls_served", 1)
+        write_messages(writer, PULL_CODEC, [part])
--- a/mulberryswitch/links/__init__.py
+++ b/mulberryswitch/links/__init__.py
@@ -1,5 +1,7 @@
 """Links to peers, the fabric, targets, the platform and operators."""
 
+from mulberryswitch.transport import parse_endpoint, read_messages, write_messages
+
 from ._datagrams import DatagramEndpoint
 from ._events import (
     AttachTarget,
@@ -29,7 +31,6 @@
 from ._operator import OperatorPort
 from ._peers import PeerLinks, sign_hello, verify_hello
 from ._platform import PlatformReader, check_vm_list
-from ._streams import parse_endpoint, read_messages, write_messages
 from ._targets import TargetLinks
 
 __all__ = [
--- a/mulberryswitch/links/_datagrams.py
+++ b/mulberryswitch/links/_datagrams.py
@@ -7,8 +7,7 @@
 from typing import Any
 
 from mulberryswitch.contracts import Codec, DecodeError
-
-from ._streams import parse_endpoint
+from mulberryswitch.transport import parse_endpoint
 
 __all__ = ["DatagramEndpoint"]
 
--- a/mulberryswitch/links/_operator.py
+++ b/mulberryswitch/links/_operator.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from ._streams import parse_endpoint
+from mulberryswitch.transport import parse_endpoint
 
 __all__ = ["OperatorPort"]
 
--- a/mulberryswitch/links/_peers.py
+++ b/mulberryswitch/links/_peers.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from mulberryswitch.contracts import PEER_CODEC, DecodeError, Hello
+from mulberryswitch.transport import parse_endpoint, read_messages, write_messages
 
 from ._events import PeerLost, PeerMessages, PeerUnsent, PeerUp
-from ._streams import parse_endpoint, read_messages, write_messages
 
 __all__ = ["PeerLinks", "sign_hello", "verify_hello"]
 
--- a/mulberryswitch/links/_targets.py
+++ b/mulberryswitch/links/_targets.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from mulberryswitch.contracts import TARGET_CODEC, Attach, Attached, DecodeError, Target
+from mulberryswitch.transport import parse_endpoint, read_messages, write_messages
 
 from ._events import TargetFrames, TargetLost, TargetRefused, TargetUp
-from ._streams import parse_endpoint, read_messages, write_messages
 
 __all__ = ["TargetLinks"]
 
--- a/mulberryswitch/transport/__init__.py
+++ b/mulberryswitch/transport/__init__.py
@@ -1,6 +1,16 @@
-"""Sockets of the direct path: HTTP with h11, and datagrams."""
+"""Sockets: HTTP with h11, datagrams, and streams of msgpack messages."""
 
 from ._datagrams import DatagramSocket
 from ._http import HttpClient, HttpError, HttpResponse, HttpServer
+from ._streams import parse_endpoint, read_messages, write_messages
 
-__all__ = ["DatagramSocket", "HttpClient", "HttpError", "HttpResponse", "HttpServer"]
+__all__ = [
+    "DatagramSocket",
+    "HttpClient",
+    "HttpError",
+    "HttpResponse",
+    "HttpServer",
+    "parse_endpoint",
+    "read_messages",
+    "write_messages",
+]
--- a/mulberryswitch/links/_streams.py
+++ b/mulberryswitch/transport/_streams.py
@@ -1,4 +1,4 @@
-"""Framing of msgpack messages on TCP streams, shared by peer and target links."""
+"""Framing of msgpack messages on TCP streams."""
 
 import asyncio
 from collections.abc import AsyncIterator, Iterable
--- a/mulberryswitch/vms/__init__.py
+++ b/mulberryswitch/vms/__init__.py
@@ -3,16 +3,20 @@
 from ._membership import ListEntry, Membership, Send
 from ._owners import Member, pick_owner, pick_standbys, rank_members
 from ._pause import PauseDetector
+from ._readers import READERS_PER_ZONE, pick_readers, rank_readers
 from ._silence import SilenceDetector
 
 __all__ = [
     "ListEntry",
     "Member",
     "Membership",
+    "READERS_PER_ZONE",
     "PauseDetector",
     "Send",
     "SilenceDetector",
     "pick_owner",
+    "pick_readers",
     "pick_standbys",
     "rank_members",
+    "rank_readers",
 ]
