Eject a target at the first unanswered opening, tell the zone, skip what refused a caller

Cause: a process that crashed resets openings towards the caller; no VM sees that. Ruled out: resets of this system (the log names none there).

--- a/mulberryswitch/contracts/_feed.py
+++ b/mulberryswitch/contracts/_feed.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ._codec import Codec
-from ._messages import Ack, Ping, PingRequest
+from ._membership import Ack, Ping, PingRequest
 
 __all__ = [
     "FEED_CODEC",
@@ -14,6 +14,7 @@
     "FeedAnnounce",
     "LoadEntry",
     "LoadShare",
+    "TargetSilent",
     "ZoneLoads",
 ]
 
@@ -23,15 +24,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadEntry:
-    """Flows and requests in flight at the target that `token` names.
-
-    `silent` is set when the target does not answer.
-    """
+    """Flows and requests in flight at the target that `token` names."""
 
     token: int
     long_flows: int
     busy: int
-    silent: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -70,6 +67,18 @@
     entries: tuple[LoadEntry, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetSilent:
+    """The sender ejected a target for `ejection_ms`; `is_dark` if open flows are silent too."""
+
+    fleet: str
+    vm: str
+    zone: str
+    token: int
+    ejection_ms: int
+    is_dark: bool
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DirectoryPull:
     """Ask for the changes after revision `after`."""
@@ -92,7 +101,7 @@
 
 
 FEED_CODEC = Codec(
-    kinds={1: Ping, 2: PingRequest, 3: Ack, 4: FeedAnnounce, 5: LoadShare},
+    kinds={1: Ping, 2: PingRequest, 3: Ack, 4: FeedAnnounce, 5: LoadShare, 6: TargetSilent},
     max_bytes=MAX_FEED_BYTES,
 )
 PULL_CODEC = Codec(kinds={1: DirectoryPull, 2: DirectoryPart}, max_bytes=MAX_PULL_BYTES)
--- a/mulberryswitch/contracts/_messages.py
+++ b/mulberryswitch/contracts/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between VMs: peer streams over TCP and membership datagrams over UDP."""
+"""Messages between VMs on peer streams over TCP."""
 
 from dataclasses import dataclass
 from enum import IntEnum
@@ -9,9 +9,7 @@
 __all__ = [
     "MAX_HOPS",
     "MAX_PEER_FRAME_BYTES",
-    "MEMBERSHIP_CODEC",
     "PEER_CODEC",
-    "Ack",
     "ConfigAnnounce",
     "ConfigDocument",
     "ConfigPull",
@@ -20,10 +18,6 @@
     "Forward",
     "Hello",
     "LeavingTargets",
-    "MemberState",
-    "MemberUpdate",
-    "Ping",
-    "PingRequest",
     "Pin",
     "ShardAck",
     "ShardRole",
@@ -32,7 +26,6 @@
 
 MAX_HOPS = 3
 MAX_PEER_FRAME_BYTES = 4 * 1024 * 1024
-MAX_MEMBERSHIP_BYTES = 1400  # stays inside one Ethernet frame
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -178,56 +171,6 @@
     names: tuple[str, ...]
 
 
-class MemberState(IntEnum):
-    """State of a VM in the membership view; a higher value wins at equal incarnation."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    LEAVING = 2
-    DEAD = 3
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MemberUpdate:
-    """What one VM says about another; `address` is ``host:port`` for both TCP and UDP."""
-
-    vm: str
-    zone: str
-    address: str
-    incarnation: int
-    state: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Ping:
-    """Ask the receiver for an ``Ack``; `about` names the VM it is meant for."""
-
-    sequence: int
-    sender: str
-    about: str
-    updates: tuple[MemberUpdate, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PingRequest:
-    """Ask the receiver to ping VM `about` and to pass on its ``Ack``."""
-
-    sequence: int
-    sender: str
-    about: str
-    updates: tuple[MemberUpdate, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Ack:
-    """VM `about` answered the ping `sequence`."""
-
-    sequence: int
-    sender: str
-    about: str
-    updates: tuple[MemberUpdate, ...]
-
-
 PEER_CODEC = Codec(
     kinds={
         1: Hello,
@@ -243,7 +186,3 @@
     },
     max_bytes=MAX_PEER_FRAME_BYTES,
 )
-MEMBERSHIP_CODEC = Codec(
-    kinds={1: Ping, 2: PingRequest, 3: Ack},
-    max_bytes=MAX_MEMBERSHIP_BYTES,
-)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -1,5 +1,6 @@
 """Decision on each packet of a caller: send it to a target, reset its flow, hold or drop it."""
 
+import itertools
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,15 +16,17 @@
 )
 
 from ._flows import Flow, FlowTable
-from ._loads import TargetLoads
+from ._loads import TargetHealth, TargetLoads
 from ._packets import Action, FlowKey, Forward, Packet, Reset
 from ._placement import Candidate, pick_service, pick_target
 
 __all__ = ["Forwarder"]
 
-# A target answers within 10 ms of a hop between zones and the caller's link; an opening without
-# an answer for longer was lost, or the target is dark.
-OPENING_TIMEOUT_S = 0.06
+# A target's answer reaches the caller, and its acknowledgement this VM, within 10 ms; an opening
+# without one for longer was lost, or the target is gone.
+OPENING_TIMEOUT_S = 0.03
+# A caller whose opening is unanswered for this long and who opens another flow was refused.
+REFUSED_S = 0.012
 MAX_PLACEMENTS = 4
 # A VM that starts keeps openings for a configuration as long as callers wait for an answer.
 HOLD_S = 1.2
@@ -63,6 +66,8 @@
         Source of the choices between equal targets.
     count : callable
         ``count(name, amount)`` adds to a counter.
+    report_silence : callable
+        Tells the VMs of this zone about a target that was ejected, by its token and health.
     """
 
     def __init__(
@@ -72,7 +77,9 @@
         zone: str,
         rng: Random,
         count: Callable[[str, int], None],
+        report_silence: Callable[[int, TargetHealth], None] = lambda token, health: None,
     ):
+        self.report_silence = report_silence
         self.directory = directory
         self.zone = zone
         self.rng = rng
@@ -98,7 +105,7 @@
             return self._follow_departed(packet, now_s)
         is_long = route is not None and route.kind is TrafficKind.IDEMPOTENT
         flow = self.flows.apply_packet(packet=packet, is_long=is_long, now_s=now_s)
-        if flow is not None and route is not None and self._is_dark(flow, route, now_s):
+        if flow is not None and route is not None and self._is_dark(packet, flow, route, now_s):
             self.flows.remove(packet.flow)
             return self._reset(packet, "target silent")
         return [Forward(packet=packet, target=target)]
@@ -117,24 +124,50 @@
             return self._place_again(packet, route, flow, now_s)
         if flow is not None and not flow.is_closed:
             return self._repeat(packet, flow)
-        return self._place(packet, route, (), now_s)
+        return self._place(packet, route, self._find_refusals(packet, now_s), now_s)
+
+    def _find_refusals(self, packet: Packet, now_s: float) -> tuple[str, ...]:
+        """Return the targets that refused earlier openings of this caller to the same route.
+
+        A process that does not listen resets the caller's opening, which no VM sees; the caller
+        then tries again from another port.
+        """
+        refused = [
+            (key, flow)
+            for key, flow in self.flows.openings.items()
+            if key[0] == packet.flow[0]
+            and key[2:] == packet.flow[2:]
+            and now_s - flow.sent_s >= REFUSED_S
+        ]
+        for key, flow in refused:
+            self._observe_silence(flow, now_s)
+            self.flows.remove(key)
+        return tuple(itertools.chain.from_iterable(flow.tried for _, flow in refused))
 
     def _repeat(self, packet: Packet, flow: Flow) -> list[Action]:
         target = self.directory.find_target(flow.token)
         return [Forward(packet=packet, target=target, token=flow.token)] if target else []
 
     def _place_again(self, packet: Packet, route: Route, flow: Flow, now_s: float) -> list[Action]:
-        ejected = self.loads.find(flow.token).health.observe_silence(
-            since_s=flow.sent_s, now_s=now_s
-        )
-        self.count("openings_unanswered", 1)
-        if ejected:
-            log.warning(
-                "target does not answer, no new flows for a while",
-                extra={"target": flow.tried[0], "waited_s": round(now_s - flow.sent_s, 3)},
-            )
+        self._observe_silence(flow, now_s)
         return self._place(packet, route, flow.tried, now_s)
 
+    def _observe_silence(self, flow: Flow, now_s: float) -> None:
+        """An opening found no answer."""
+        self.count("openings_unanswered", 1)
+        health = self.loads.find(flow.token).health
+        if not health.observe_silence(since_s=flow.sent_s, now_s=now_s):
+            return
+        log.warning(
+            "target does not answer, no new flows for a while",
+            extra={
+                "target": flow.tried[0],
+                "waited_s": round(now_s - flow.sent_s, 3),
+                "ejection_s": health.ejection_s,
+            },
+        )
+        self.report_silence(flow.token, health)
+
     def _place(
         self, packet: Packet, route: Route, tried: tuple[str, ...], now_s: float
     ) -> list[Action]:
@@ -166,18 +199,23 @@
             target=target,
             work=busy + LONG_FLOW_WORK * long_flows,
             speed=COLD_SPEED if is_cold else 1.0,
-            is_ejected=now_s < load.health.ejected_until_s
-            or any(digest.silent for digest in shared),
+            is_ejected=load.health.is_ejected(now_s),
         )
 
-    def _is_dark(self, flow: Flow, route: Route, now_s: float) -> bool:
+    def _is_dark(self, packet: Packet, flow: Flow, route: Route, now_s: float) -> bool:
         """Return whether the flow's target is silent and its caller had better try again."""
-        if not flow.repeats or not route.is_retried:
+        if not route.is_retried or not packet.payload_bytes:
             return False
         health = self.loads.find(flow.token).health
-        if now_s - flow.sent_s < DARK_SILENCE_S or health.answered_s >= flow.sent_s:
+        if health.is_dark(now_s):
+            return True
+        if not flow.repeats or now_s - flow.sent_s < DARK_SILENCE_S:
+            return False
+        if health.answered_s >= flow.sent_s:
             return False
         health.observe_silence(since_s=flow.sent_s, now_s=now_s)
+        health.observe_darkness(now_s)
+        self.report_silence(flow.token, health)
         return True
 
     def _follow_departed(self, packet: Packet, now_s: float) -> list[Action]:
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -6,14 +6,16 @@
 
 from mulberryswitch.contracts import LoadEntry
 
-__all__ = ["TargetHealth", "TargetLoad", "TargetLoads", "add_entries", "subtract_entries"]
+__all__ = ["TargetHealth", "TargetLoad", "TargetLoads", "subtract_entries"]
 
 # Weight of a new sample of the service time.
 SAMPLE_WEIGHT = 0.1
-# Two openings or requests in a row without any sign of life: one alone may be a lost datagram.
-SILENT_FAILURES = 2
-FIRST_EJECTION_S = 1.0
+FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 8.0
+# A peer's report counts unless this VM has had an answer since about then.
+REPORT_LAG_S = 0.2
+# How long a target that left open flows without an answer is taken to be dark.
+DARK_LIFE_S = 1.5
 # What a VM said is worthless when it no longer speaks.
 SHARE_LIFE_S = 1.5
 
@@ -24,7 +26,6 @@
         token=first.token,
         long_flows=first.long_flows + second.long_flows,
         busy=first.busy + second.busy,
-        silent=first.silent or second.silent,
     )
 
 
@@ -37,7 +38,6 @@
                 token=entry.token,
                 long_flows=max(0, entry.long_flows - own[entry.token].long_flows),
                 busy=max(0, entry.busy - own[entry.token].busy),
-                silent=entry.silent,
             )
             if entry.token in own
             else entry
@@ -50,35 +50,63 @@
 class TargetHealth:
     """Signs of life of one target.
 
-    `failures` counts the openings and requests without an answer since the last answer.
+    Attributes
+    ----------
+    answered_s : float
+        When a caller last acknowledged something of the target.
+    ejection_s : float
+        Length of the present ejection; it doubles with each failure until the next answer.
+    ejected_until_s : float
+        No new flows until then.
+    dark_s : float
+        When the target was last found to leave an open flow without an answer.
     """
 
     answered_s: float = 0.0
-    failures: int = 0
-    failed_s: float = 0.0
     ejection_s: float = 0.0
     ejected_until_s: float = 0.0
+    dark_s: float = float("-inf")
 
     def observe_answer(self, now_s: float) -> None:
         """The target answered a caller."""
         self.answered_s = now_s
-        self.failures = 0
         self.ejection_s = 0.0
         self.ejected_until_s = 0.0
+        self.dark_s = float("-inf")
 
     def observe_silence(self, *, since_s: float, now_s: float) -> bool:
-        """A packet sent at `since_s` found no answer; return whether the target is now ejected."""
-        if self.answered_s >= since_s or self.failed_s > since_s:
-            # It answered somebody meanwhile, or this silence was counted with another flow's.
-            return False
-        self.failures += 1
-        self.failed_s = now_s
-        if self.failures < SILENT_FAILURES:
+        """A packet sent at `since_s` found no answer; return whether that ejects the target.
+
+        One failure is enough: to choose another target costs little, while a target that crashed
+        looks idle and would draw all new flows.
+        """
+        if self.answered_s >= since_s or now_s < self.ejected_until_s:
             return False
         self.ejection_s = min(MAX_EJECTION_S, max(FIRST_EJECTION_S, 2 * self.ejection_s))
         self.ejected_until_s = now_s + self.ejection_s
         return True
 
+    def observe_darkness(self, now_s: float) -> None:
+        """An open flow found no answer although its caller repeated a request."""
+        self.dark_s = now_s
+
+    def observe_report(self, *, ejection_s: float, is_dark: bool, now_s: float) -> None:
+        """A peer of this zone ejected the target for `ejection_s` seconds."""
+        if now_s - self.answered_s <= REPORT_LAG_S:
+            return
+        self.ejection_s = max(self.ejection_s, min(MAX_EJECTION_S, ejection_s))
+        self.ejected_until_s = max(self.ejected_until_s, now_s + self.ejection_s)
+        if is_dark:
+            self.dark_s = now_s
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Return whether the target gets no new flows."""
+        return now_s < self.ejected_until_s
+
+    def is_dark(self, now_s: float) -> bool:
+        """Return whether open flows of the target have no answers either."""
+        return now_s - self.dark_s <= DARK_LIFE_S
+
 
 @dataclass(kw_only=True, slots=True)
 class TargetLoad:
@@ -142,22 +170,21 @@
             entries.values() for s, entries in self._shares.values() if now_s - s <= SHARE_LIFE_S
         ]
         sums: dict[int, LoadEntry] = {}
-        for entry in itertools.chain(self.build_share(now_s), *shares):
+        for entry in itertools.chain(self.build_share(), *shares):
             known = sums.get(entry.token)
             sums[entry.token] = entry if known is None else add_entries(known, entry)
         return list(sums.values())
 
-    def build_share(self, now_s: float) -> list[LoadEntry]:
+    def build_share(self) -> list[LoadEntry]:
         """Return this VM's share."""
         return [
             LoadEntry(
                 token=token,
                 long_flows=load.long_flows,
                 busy=load.busy,
-                silent=now_s < load.health.ejected_until_s,
             )
             for token, load in self._loads.items()
-            if load.long_flows or load.busy or now_s < load.health.ejected_until_s
+            if load.long_flows or load.busy
         ]
 
     def drop_unknown(self, tokens: Iterable[int], now_s: float) -> None:
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -20,7 +20,7 @@
 
 __all__ = ["Front", "run_front"]
 
-TICK_S = 0.02
+TICK_S = 0.01
 RELOAD_CHECK_S = 2.0
 # Routers take a VM that is not ready out of rotation after two checks, half a second apart.
 MIN_SHUTDOWN_S = 1.5
@@ -54,7 +54,11 @@
             decode=adapter.decode_record, keep_departed_s=settings.flow_life_s
         )
         self.forwarder = Forwarder(
-            directory=self.directory, zone=settings.zone, rng=rng, count=self.metrics.count
+            directory=self.directory,
+            zone=settings.zone,
+            rng=rng,
+            count=self.metrics.count,
+            report_silence=lambda token, health: self.peers.report_silence(token, health),
         )
         self.is_stopping = False
         self._packet_s = 0.0
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -18,10 +18,11 @@
     DirectoryPull,
     FeedAnnounce,
     LoadShare,
+    TargetSilent,
     ZoneLoads,
 )
 from mulberryswitch.directory import Directory, Feed, Record, Source
-from mulberryswitch.forwarding import TargetLoads, subtract_entries
+from mulberryswitch.forwarding import TargetHealth, TargetLoads, subtract_entries
 from mulberryswitch.transport import (
     DatagramSocket,
     parse_endpoint,
@@ -195,6 +196,21 @@
             self._announced_s = float("-inf")
             self._announce(self.clock())
 
+    def report_silence(self, token: int, health: TargetHealth) -> None:
+        """Tell the VMs of this zone that a target does not answer."""
+        now_s = self.clock()
+        silent = TargetSilent(
+            fleet=self.fleet,
+            vm=self.settings.vm,
+            zone=self.settings.zone,
+            token=token,
+            ejection_ms=int(health.ejection_s * 1000),
+            is_dark=health.is_dark(now_s),
+        )
+        for member in self.membership.live():
+            if member.zone == self.settings.zone and member.vm != self.settings.vm:
+                self._send(member.address, silent)
+
     def leave(self) -> None:
         """Tell the others that this VM stops."""
         self._send_all(self.membership.apply_leaving(now_s=self.clock()))
@@ -255,7 +271,7 @@
             fleet=self.fleet,
             vm=self.settings.vm,
             zone=self.settings.zone,
-            entries=tuple(self.loads.build_share(now_s)[:MAX_LOAD_ENTRIES]),
+            entries=tuple(self.loads.build_share()[:MAX_LOAD_ENTRIES]),
         )
         for source in self.feed.list_near_readers(now_s):
             self._send(source.address, share)
@@ -283,13 +299,9 @@
             return
         now_s = self.clock()
         address = f"{sender[0]}:{sender[1]}"
-        if isinstance(message, FeedAnnounce | LoadShare):
-            if message.fleet != self.fleet or message.vm == self.settings.vm:
-                return
-            if isinstance(message, FeedAnnounce):
-                self._observe_announce(message, address, now_s)
-            elif message.zone == self.settings.zone:
-                self.loads.observe_share(vm=message.vm, entries=message.entries, now_s=now_s)
+        if isinstance(message, FeedAnnounce | LoadShare | TargetSilent):
+            if message.fleet == self.fleet and message.vm != self.settings.vm:
+                self._observe_feed(message, address, now_s)
             return
         self._send_all(
             self.membership.observe_message(
@@ -297,6 +309,18 @@
             )
         )
 
+    def _observe_feed(self, message, address: str, now_s: float) -> None:
+        if isinstance(message, FeedAnnounce):
+            self._observe_announce(message, address, now_s)
+        elif message.zone != self.settings.zone:
+            return
+        elif isinstance(message, LoadShare):
+            self.loads.observe_share(vm=message.vm, entries=message.entries, now_s=now_s)
+        else:
+            self.loads.find(message.token).health.observe_report(
+                ejection_s=message.ejection_ms / 1000, is_dark=message.is_dark, now_s=now_s
+            )
+
     def _observe_announce(self, message: FeedAnnounce, address: str, now_s: float) -> None:
         if not message.revision:
             if self.directory.is_loaded:
@@ -321,7 +345,7 @@
         for loads in message.loads:
             if loads.zone == self.settings.zone:
                 if is_near and not self._was_reader:
-                    entries = subtract_entries(loads.entries, self.loads.build_share(now_s))
+                    entries = subtract_entries(loads.entries, self.loads.build_share())
                     self.loads.observe_zone(zone=loads.zone, entries=entries, now_s=now_s)
             elif is_near or loads.zone == message.zone:
                 # A zone's own reader knows it best; a near one only passes it on.
--- a/mulberryswitch/observability/_metrics.py
+++ b/mulberryswitch/observability/_metrics.py
@@ -1,34 +1,63 @@
 """Counters, gauges and histograms of one VM, rendered for Prometheus."""
 
+from __future__ import annotations
+
 from collections import defaultdict
 from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import cached_property
+from typing import TYPE_CHECKING
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+if TYPE_CHECKING:
+    from aioprometheus import Counter, Gauge, Histogram, Registry
 
 __all__ = ["Metrics"]
 
 WAIT_BUCKETS_S = [0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Collectors:
+    registry: Registry
+    counter: Counter
+    gauge: Gauge
+    wait: Histogram
+    service: Histogram
+
+
 class Metrics:
     """Metrics of one VM.
 
     Plain integers are counted on the packet path and copied into the registry when it is read,
-    because a labelled counter of the library costs several microseconds per update.
+    because a labelled counter of the library costs several microseconds per update. The library
+    is imported at first use, since a VM that starts has to serve before it is asked for metrics.
     """
 
     def __init__(self, *, registry: Registry | None = None):
-        self.registry = registry or Registry()
+        self.registry = registry
         self.counts: defaultdict[str, int] = defaultdict(int)
-        self._counter = Counter(
-            "mulberryswitch_events_total", "Events by name.", registry=self.registry
-        )
-        self._gauge = Gauge("mulberryswitch_state", "State by name.", registry=self.registry)
-        self._wait = Histogram(
-            "mulberryswitch_queue_wait_seconds",
-            "Time a request waited for a slot.",
-            registry=self.registry,
-            buckets=WAIT_BUCKETS_S,
+
+    @cached_property
+    def _collectors(self) -> _Collectors:
+        from aioprometheus import Counter, Gauge, Histogram, Registry
+
+        registry = self.registry or Registry()
+        return _Collectors(
+            registry=registry,
+            counter=Counter("mulberryswitch_events_total", "Events by name.", registry=registry),
+            gauge=Gauge("mulberryswitch_state", "State by name.", registry=registry),
+            wait=Histogram(
+                "mulberryswitch_queue_wait_seconds",
+                "Time a request waited for a slot.",
+                registry=registry,
+                buckets=WAIT_BUCKETS_S,
+            ),
+            service=Histogram(
+                "mulberryswitch_answer_seconds",
+                "Time from a request's last byte to the acknowledgement of its answer.",
+                registry=registry,
+                buckets=WAIT_BUCKETS_S,
+            ),
         )
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -37,12 +66,19 @@
 
     def observe_wait(self, service: str, wait_s: float) -> None:
         """Record how long a request waited for a slot, in seconds."""
-        self._wait.observe({"service": service}, wait_s)
+        self._collectors.wait.observe({"service": service}, wait_s)
+
+    def observe_answer(self, service: str, answer_s: float) -> None:
+        """Record how long a target took to answer a request, in seconds."""
+        self._collectors.service.observe({"service": service}, answer_s)
 
     def render(self, gauges: Mapping[str, float], accept: str = "") -> tuple[bytes, Mapping]:
         """Return body and headers of a scrape; `gauges` are states read at this moment."""
+        from aioprometheus import render
+
+        collectors = self._collectors
         for name, value in self.counts.items():
-            self._counter.set({"event": name}, value)
+            collectors.counter.set({"event": name}, value)
         for name, value in gauges.items():
-            self._gauge.set({"name": name}, value)
-        return render(self.registry, [accept] if accept else [])
+            collectors.gauge.set({"name": name}, value)
+        return render(collectors.registry, [accept] if accept else [])
