--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -178,6 +178,8 @@
                 extra={
                     "target": target.key,
                     "service": target.service,
+                    "zone": target.zone,
+                    "address": "{}:{}".format(*target.address),
                     "draining": target.is_draining,
                     "boot_ms": target.boot_ms,
                 },
