Reset an open flow only when its target's openings fail too

A target answers an opening without waiting for a slot, so two openings without an answer are now required. A record that another writer spoiled no longer keeps its target in use as if it had lapsed.

--- a/mulberryswitch/directory/__init__.py
+++ b/mulberryswitch/directory/__init__.py
@@ -1,6 +1,6 @@
 """Routes and targets in force, as the platform's store publishes them."""
 
-from ._directory import Departure, Directory
+from ._directory import Departure, DepartureCause, Directory
 from ._feed import Feed, Source
 from ._reading import Pause, ReadAll, ReadPlanner, Watch
 from ._records import DecodeRecord, Manifest, Record, Route, RouteKey, Target, TrafficKind
@@ -10,6 +10,7 @@
     "NO_TOKEN",
     "DecodeRecord",
     "Departure",
+    "DepartureCause",
     "Directory",
     "Feed",
     "Manifest",
--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -5,11 +5,12 @@
 from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 from ._records import DecodeRecord, Manifest, Record, Route, RouteKey, Target
 from ._tokens import build_token
 
-__all__ = ["Departure", "Directory"]
+__all__ = ["Departure", "DepartureCause", "Directory"]
 
 # Deltas for peers that are behind; beyond this they take a snapshot.
 MAX_LOGGED_RECORDS = 512
@@ -20,16 +21,32 @@
 log = logging.getLogger("directory")
 
 
+class DepartureCause(Enum):
+    """Why a target is no longer listed."""
+
+    LEFT = "left"
+    LAPSED = "lapsed"
+    UNREADABLE = "unreadable"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Departure:
-    """A target whose record was deleted, as seen at `departed_s`."""
+    """A target that is no longer listed, as seen at `departed_s`."""
 
     target: Target
     departed_s: float
+    cause: DepartureCause
+
+    def may_return(self, now_s: float) -> bool:
+        """Return whether the store may have lost the record of a target that lives."""
+        return self.cause is DepartureCause.LAPSED and now_s - self.departed_s <= LAPSE_GRACE_S
 
     def is_gone(self, now_s: float) -> bool:
-        """Return whether the process has ended, so that its open flows are lost."""
-        return self.target.is_draining or now_s - self.departed_s > LAPSE_GRACE_S
+        """Return whether the process has ended, so that its open flows are lost.
+
+        A record that another writer spoiled says nothing about the process.
+        """
+        return self.cause is not DepartureCause.UNREADABLE and not self.may_return(now_s)
 
 
 class Directory:
@@ -95,7 +112,7 @@
         lapsed = [
             departure.target
             for departure in self._departures.values()
-            if departure.target.service == service and not departure.is_gone(now_s)
+            if departure.target.service == service and departure.may_return(now_s)
         ]
         return [*live, *lapsed] if len(lapsed) >= max(1, len(live)) else live
 
@@ -133,7 +150,7 @@
             return False
         if record.value is None:
             del self._records[record.key]
-            self._apply_departure(record.key, now_s)
+            self._apply_departure(record.key, DepartureCause.LAPSED, now_s)
             return True
         self._records[record.key] = record
         content = self.decode(record)
@@ -142,7 +159,7 @@
         elif content is not None:
             self._apply_target(content, now_s)
         elif record.key in self.targets:
-            self._apply_departure(record.key, now_s)
+            self._apply_departure(record.key, DepartureCause.UNREADABLE, now_s)
         return True
 
     def _apply_manifest(self, manifest: Manifest, revision: int) -> None:
@@ -185,13 +202,17 @@
                 },
             )
 
-    def _apply_departure(self, key: str, now_s: float) -> None:
+    def _apply_departure(self, key: str, cause: DepartureCause, now_s: float) -> None:
         target = self.targets.pop(key, None)
         self.cold_until_s.pop(key, None)
         if target is None:
             return
-        self._departures[build_token(target.identity)] = Departure(target=target, departed_s=now_s)
-        log.info("target departed", extra={"target": key, "draining": target.is_draining})
+        if target.is_draining:
+            cause = DepartureCause.LEFT
+        self._departures[build_token(target.identity)] = Departure(
+            target=target, departed_s=now_s, cause=cause
+        )
+        log.info("target departed", extra={"target": key, "cause": cause.value})
 
     def _finish(self, revision: int, has_news: bool, now_s: float) -> bool:
         self.revision = max(self.revision, revision)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -211,12 +211,10 @@
             return True
         if not flow.repeats or now_s - flow.sent_s < DARK_SILENCE_S:
             return False
-        if health.answered_s >= flow.sent_s:
-            return False
-        health.observe_silence(since_s=flow.sent_s, now_s=now_s)
-        health.observe_darkness(now_s)
-        self.report_silence(flow.token, health)
-        return True
+        is_dark = health.observe_open_silence(since_s=flow.sent_s, now_s=now_s)
+        if is_dark:
+            self.report_silence(flow.token, health)
+        return is_dark
 
     def _follow_departed(self, packet: Packet, now_s: float) -> list[Action]:
         """Decide on a packet whose token names no listed target."""
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -14,6 +14,9 @@
 MAX_EJECTION_S = 8.0
 # A peer's report counts unless this VM has had an answer since about then.
 REPORT_LAG_S = 0.2
+# Openings without an answer, with no sign of life between, that prove a target unreachable. Its
+# answer to an opening does not wait for a slot; a request may wait long at a target that lives.
+DARK_OPENINGS = 2
 # How long a target that left open flows without an answer is taken to be dark.
 DARK_LIFE_S = 1.5
 # What a VM said is worthless when it no longer speaks.
@@ -58,13 +61,16 @@
         Length of the present ejection; it doubles with each failure until the next answer.
     ejected_until_s : float
         No new flows until then.
+    unanswered : int
+        Openings without an answer since the last answer, those that peers reported included.
     dark_s : float
         When the target was last found to leave an open flow without an answer.
     """
 
-    answered_s: float = 0.0
+    answered_s: float = float("-inf")
     ejection_s: float = 0.0
     ejected_until_s: float = 0.0
+    unanswered: int = 0
     dark_s: float = float("-inf")
 
     def observe_answer(self, now_s: float) -> None:
@@ -72,28 +78,36 @@
         self.answered_s = now_s
         self.ejection_s = 0.0
         self.ejected_until_s = 0.0
+        self.unanswered = 0
         self.dark_s = float("-inf")
 
     def observe_silence(self, *, since_s: float, now_s: float) -> bool:
-        """A packet sent at `since_s` found no answer; return whether that ejects the target.
+        """An opening sent at `since_s` found no answer; return whether that ejects the target.
 
         One failure is enough: to choose another target costs little, while a target that crashed
         looks idle and would draw all new flows.
         """
-        if self.answered_s >= since_s or now_s < self.ejected_until_s:
+        if self.answered_s >= since_s:
+            return False
+        self.unanswered += 1
+        if now_s < self.ejected_until_s:
             return False
         self.ejection_s = min(MAX_EJECTION_S, max(FIRST_EJECTION_S, 2 * self.ejection_s))
         self.ejected_until_s = now_s + self.ejection_s
         return True
 
-    def observe_darkness(self, now_s: float) -> None:
-        """An open flow found no answer although its caller repeated a request."""
+    def observe_open_silence(self, *, since_s: float, now_s: float) -> bool:
+        """A request sent at `since_s` has no answer; return whether the target is dark."""
+        if self.answered_s >= since_s or self.unanswered < DARK_OPENINGS:
+            return False
         self.dark_s = now_s
+        return True
 
     def observe_report(self, *, ejection_s: float, is_dark: bool, now_s: float) -> None:
         """A peer of this zone ejected the target for `ejection_s` seconds."""
         if now_s - self.answered_s <= REPORT_LAG_S:
             return
+        self.unanswered += 1
         self.ejection_s = max(self.ejection_s, min(MAX_EJECTION_S, ejection_s))
         self.ejected_until_s = max(self.ejected_until_s, now_s + self.ejection_s)
         if is_dark:
--- /dev/null
+++ b/mulberryswitch/forwarding/tests/test_forwarder.py
@@ -0,0 +1,302 @@
+"""Tests of the decision on each packet."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mulberryswitch.directory import Directory, build_token
+from mulberryswitch.directory.tests.builders import (
+    build_config_record,
+    build_directory,
+    build_record,
+    build_target,
+    build_target_record,
+    decode,
+)
+from mulberryswitch.forwarding import Forward, Reset
+from mulberryswitch.forwarding.tests.builders import build_forwarder, build_packet
+
+ROUTES = {443: "feeds", 80: "feeds", 81: "scans"}
+
+
+def build_fleet(*names: str, kinds: dict[str, str] | None = None, **changes):
+    """Return a directory with a configuration and targets of `feeds`."""
+    config = build_record(
+        "config", 5, version=1, routes=ROUTES, kinds=kinds or {"80": "non-idempotent"}
+    )
+    return build_directory(config, *(build_target_record(name, 6, **changes) for name in names))
+
+
+def token_of(name: str) -> int:
+    return build_token(build_target(name).identity)
+
+
+class PathTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = build_fleet("t1", "t2", "t3")
+        self.forwarder = build_forwarder(self.directory)
+
+    def send(self, now_s: float, **fields) -> list:
+        return self.forwarder.observe_packet(packet=build_packet(**fields), now_s=now_s)
+
+    def open(self, now_s: float, **fields) -> str:
+        """Open a flow and return the target's key."""
+        (action,) = self.send(now_s, **fields)
+        self.assertIsInstance(action, Forward)
+        return action.target.key
+
+    def acknowledge(self, now_s: float, target: str, **fields) -> list:
+        return self.send(now_s, token=token_of(target), sequence=1, acknowledged=1, **fields)
+
+
+class OpeningTest(PathTest):
+    """Guards new flows."""
+
+    def test_an_opening_carries_the_token_of_its_target(self):
+        (action,) = self.send(0.0)
+        self.assertEqual(action.token, token_of(action.target.key))
+
+    def test_an_unknown_route_is_reset_at_once(self):
+        self.assertIsInstance(self.send(0.0, port=999, opens=True)[0], Reset)
+
+    def test_a_service_without_targets_is_refused_at_once(self):
+        """What cannot be served must not wait for its deadline."""
+        self.assertIsInstance(self.send(0.0, port=81, opens=True)[0], Reset)
+
+    def test_an_opening_without_an_answer_goes_to_another_target(self):
+        first = self.open(0.0)
+        self.assertEqual(self.forwarder.decide_tick(now_s=0.01), [])
+        (action,) = self.forwarder.decide_tick(now_s=0.05)
+        self.assertNotEqual(action.target.key, first)
+        self.assertEqual(action.token, token_of(action.target.key))
+
+    def test_an_answered_opening_is_not_sent_again(self):
+        first = self.open(0.0)
+        self.acknowledge(0.01, first)
+        self.assertEqual(self.forwarder.decide_tick(now_s=0.05), [])
+
+    def test_a_quick_copy_goes_to_the_same_target(self):
+        self.assertEqual(self.open(0.0), self.open(0.01))
+
+    def test_a_target_that_did_not_answer_gets_no_flows_until_its_time(self):
+        first = self.open(0.0)
+        self.forwarder.decide_tick(now_s=0.05)
+        chosen = {self.open(0.06, caller_port=port, opens=True) for port in range(2000, 2020)}
+        self.assertNotIn(first, chosen)
+
+    def test_a_caller_that_was_refused_is_sent_elsewhere_at_once(self):
+        """A crashed process resets openings, which no VM sees; three tries are soon spent."""
+        first = self.open(0.0)
+        second = self.open(0.015, caller_port=1001, opens=True)
+        third = self.open(0.030, caller_port=1002, opens=True)
+        self.assertEqual(len({first, second, third}), 3)
+
+    def test_all_targets_silent_are_still_tried(self):
+        """Ejection never leaves a service without targets."""
+        self.open(0.0)
+        for step in range(1, 4):
+            self.assertTrue(self.forwarder.decide_tick(now_s=0.04 * step))
+        self.assertTrue(self.open(0.5, caller_port=1001, opens=True))
+
+    def test_a_pause_of_this_process_accuses_no_target(self):
+        """Answers wait in the socket after a pause."""
+        first = self.open(0.0)
+        self.forwarder.decide_tick(now_s=0.01)
+        self.assertEqual(self.forwarder.decide_tick(now_s=3.0), [])
+        self.acknowledge(3.001, first)
+        self.assertEqual(self.forwarder.decide_tick(now_s=3.05), [])
+
+
+class StartTest(unittest.TestCase):
+    """Guards callers of a VM that has just started."""
+
+    def test_openings_wait_for_the_first_configuration(self):
+        directory = Directory(decode=decode)
+        forwarder = build_forwarder(directory)
+        self.assertEqual(forwarder.observe_packet(packet=build_packet(), now_s=0.0), [])
+        records = [
+            build_config_record(5, routes={443: "feeds"}),
+            build_target_record("t1", 6),
+        ]
+        directory.apply_snapshot(records=records, revision=6, now_s=0.4)
+        (action,) = forwarder.observe_change(0.4)
+        self.assertEqual(action.target.key, "t1")
+
+    def test_an_opening_that_its_caller_gave_up_is_not_placed(self):
+        directory = Directory(decode=decode)
+        forwarder = build_forwarder(directory)
+        forwarder.observe_packet(packet=build_packet(), now_s=0.0)
+        records = [build_config_record(5, routes={443: "feeds"}), build_target_record("t1", 6)]
+        directory.apply_snapshot(records=records, revision=6, now_s=2.0)
+        self.assertEqual(forwarder.observe_change(2.0), [])
+
+    def test_packets_of_open_flows_are_not_reset_before_the_configuration(self):
+        forwarder = build_forwarder(Directory(decode=decode))
+        packet = build_packet(token=token_of("t1"), sequence=1)
+        for step in range(20):
+            self.assertEqual(forwarder.observe_packet(packet=packet, now_s=step / 2), [])
+
+
+class OpenFlowTest(PathTest):
+    """Guards open flows against moves and false resets."""
+
+    def test_any_vm_finds_the_target_by_the_token(self):
+        (action,) = self.send(0.0, token=token_of("t2"), sequence=5, payload_bytes=10)
+        self.assertEqual((action.target.key, action.token), ("t2", 0))
+
+    def test_a_draining_target_keeps_its_flows(self):
+        draining = [build_target_record("t2", 11, draining=True)]
+        self.directory.apply_records(records=draining, revision=11, now_s=1.0)
+        (action,) = self.send(2.0, token=token_of("t2"), sequence=5, payload_bytes=10)
+        self.assertEqual(action.target.key, "t2")
+
+    def test_a_flow_of_a_removed_route_is_reset(self):
+        removed = [build_config_record(11, version=2, routes={80: "feeds"})]
+        self.directory.apply_records(records=removed, revision=11, now_s=1.0)
+        (action,) = self.send(2.0, token=token_of("t2"), sequence=5, payload_bytes=10)
+        self.assertIsInstance(action, Reset)
+
+    def test_a_flow_of_a_route_that_is_new_elsewhere_is_forwarded(self):
+        """A VM that is behind must not break what others opened."""
+        (action,) = self.send(2.0, port=999, token=token_of("t2"), sequence=5, payload_bytes=10)
+        self.assertEqual(action.target.key, "t2")
+
+    def test_a_flow_of_a_target_that_left_is_reset(self):
+        for revision, record in (
+            (11, build_target_record("t2", 11, draining=True)),
+            (12, build_record("t2", 12)),
+        ):
+            self.directory.apply_records(records=[record], revision=revision, now_s=1.0)
+        (action,) = self.send(2.0, token=token_of("t2"), sequence=5, payload_bytes=10)
+        self.assertIsInstance(action, Reset)
+
+    def test_a_flow_of_a_lapsed_target_goes_on_until_its_time_to_return_is_over(self):
+        self.directory.apply_records(records=[build_record("t2", 11)], revision=11, now_s=1.0)
+        fields = {"token": token_of("t2"), "sequence": 5, "payload_bytes": 10}
+        self.assertIsInstance(self.send(3.0, **fields)[0], Forward)
+        self.assertIsInstance(self.send(4.0, **fields)[0], Reset)
+
+    def test_an_unknown_token_is_reset_only_after_the_news_had_time(self):
+        """A peer may have placed the flow on a target that this VM learns of a moment later."""
+        fields = {"token": 12345, "sequence": 5, "payload_bytes": 10}
+        self.assertEqual(self.send(0.0, **fields), [])
+        self.assertEqual(self.send(0.6, **fields), [])
+        self.assertIsInstance(self.send(1.4, **fields)[0], Reset)
+
+    def test_a_reset_is_never_answered_by_a_reset(self):
+        self.assertEqual(self.send(0.0, port=999, opens=True, resets=True), [])
+
+
+class DarkTargetTest(PathTest):
+    """Guards callers against dark targets, and slow targets against being taken for dark."""
+
+    def request(self, now_s: float, *, caller_port: int = 5000, port: int = 443) -> list:
+        return self.send(
+            now_s,
+            caller_port=caller_port,
+            port=port,
+            token=token_of("t2"),
+            sequence=100,
+            acknowledged=7,
+            payload_bytes=50,
+        )
+
+    def fail_openings(self, now_s: float, count: int) -> None:
+        health = self.forwarder.loads.find(token_of("t2")).health
+        for number in range(count):
+            health.observe_silence(since_s=now_s + number / 100, now_s=now_s + number / 100 + 0.03)
+
+    def start(self) -> None:
+        self.send(0.0, caller_port=5000, token=token_of("t2"), sequence=99, acknowledged=7)
+        self.send(0.0, caller_port=5000, port=80, token=token_of("t2"), sequence=99, acknowledged=7)
+
+    def test_a_slow_request_alone_resets_nothing(self):
+        """A request that waits in a queue is repeated by its caller though the target lives."""
+        self.start()
+        for now_s in (0.1, 0.3, 0.7, 1.5):
+            self.assertIsInstance(self.request(now_s)[0], Forward)
+
+    def test_a_flow_of_a_dark_target_is_reset_so_that_its_caller_tries_again(self):
+        self.start()
+        self.assertIsInstance(self.request(0.1)[0], Forward)
+        self.fail_openings(0.2, 2)
+        self.assertIsInstance(self.request(0.3)[0], Forward)
+        self.assertIsInstance(self.request(0.7)[0], Reset)
+
+    def test_the_next_request_to_a_dark_target_is_reset_at_once(self):
+        self.start()
+        self.request(0.1)
+        self.fail_openings(0.2, 2)
+        self.request(0.3)
+        self.request(0.7)
+        self.assertIsInstance(self.request(0.9, caller_port=5001)[0], Reset)
+
+    def test_one_lost_opening_is_no_proof(self):
+        self.start()
+        self.request(0.1)
+        self.fail_openings(0.2, 1)
+        self.assertIsInstance(self.request(0.7)[0], Forward)
+
+    def test_an_answer_to_anybody_ends_the_suspicion(self):
+        self.start()
+        self.request(0.1)
+        self.fail_openings(0.2, 2)
+        self.forwarder.loads.find(token_of("t2")).health.observe_answer(0.5)
+        self.assertIsInstance(self.request(0.7)[0], Forward)
+
+    def test_a_request_that_must_not_run_twice_is_left_to_its_caller(self):
+        """Its caller does not repeat it, so a reset would only end it."""
+        self.start()
+        self.request(0.1, port=80)
+        self.fail_openings(0.2, 2)
+        self.assertIsInstance(self.request(0.7, port=80)[0], Forward)
+
+
+class AnyPacketTest(unittest.TestCase):
+    """Guards the packet path against any sequence of packets."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 3),
+                st.sampled_from([0, 1, token_of("t1"), token_of("t2")]),
+                st.integers(0, 2**32 - 1),
+                st.integers(0, 2**32 - 1),
+                st.integers(0, 1200),
+                st.tuples(*[st.booleans()] * 4),
+                st.sampled_from([443, 80, 81, 999]),
+            ),
+            max_size=40,
+        )
+    )
+    def test_counts_stay_in_step(self, steps):
+        forwarder = build_forwarder(build_fleet("t1", "t2"))
+        for number, (port, token, sequence, acknowledged, size, flags, route) in enumerate(steps):
+            opens, acknowledges, finishes, resets = flags
+            packet = build_packet(
+                caller_port=port,
+                port=route,
+                token=token,
+                sequence=sequence,
+                acknowledged=acknowledged,
+                payload_bytes=size,
+                opens=opens,
+                acknowledges=acknowledges,
+                finishes=finishes,
+                resets=resets,
+            )
+            for action in forwarder.observe_packet(packet=packet, now_s=number / 50):
+                if isinstance(action, Forward):
+                    self.assertEqual(action.target.service, "feeds")
+            forwarder.decide_tick(now_s=number / 50)
+        for load in forwarder.loads._loads.values():
+            self.assertGreaterEqual(min(load.openings, load.long_flows, load.busy), 0)
+        for key in list(forwarder.flows.flows):
+            forwarder.flows.remove(key)
+        for load in forwarder.loads._loads.values():
+            self.assertEqual((load.openings, load.long_flows, load.busy), (0, 0, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
