--- a/mulberryswitch/front/tests/test_front.py
+++ b/mulberryswitch/front/tests/test_front.py
@@ -219,9 +219,9 @@
 
     async def test_a_new_store_address(self):
         other = await start_store(9)
-        other.put("op/config", build_config(30))
         for _ in range(9):
             other.put("servers/i-9", build_entry(9))
+        other.put("op/config", build_config(30))
         async with RunningFront(self.settings) as front:
             await wait_until(lambda: front.is_ready)
             address = self.settings.store_address._replace(port=other.port)
