Doubt: a new flow tries a target whose open flows are silent; tell other zones of dark targets

A repeated request now asks the zone to try the target with its next opening, and readers pass dark targets on to their zones, as evidence only.

--- a/mulberryswitch/contracts/__init__.py
+++ b/mulberryswitch/contracts/__init__.py
@@ -13,6 +13,7 @@
     FeedAnnounce,
     LoadEntry,
     LoadShare,
+    TargetDoubt,
     TargetSilent,
     ZoneLoads,
 )
@@ -32,6 +33,7 @@
     "FeedAnnounce",
     "LoadEntry",
     "LoadShare",
+    "TargetDoubt",
     "TargetSilent",
     "MAX_PULL_BYTES",
     "PULL_CODEC",
--- a/mulberryswitch/contracts/_feed.py
+++ b/mulberryswitch/contracts/_feed.py
@@ -14,6 +14,7 @@
     "FeedAnnounce",
     "LoadEntry",
     "LoadShare",
+    "TargetDoubt",
     "TargetSilent",
     "ZoneLoads",
 ]
@@ -79,6 +80,16 @@
     is_dark: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetDoubt:
+    """A request at a target has no answer; the receiver's next new flow should try the target."""
+
+    fleet: str
+    vm: str
+    zone: str
+    token: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DirectoryPull:
     """Ask for the changes after revision `after`."""
@@ -101,7 +112,15 @@
 
 
 FEED_CODEC = Codec(
-    kinds={1: Ping, 2: PingRequest, 3: Ack, 4: FeedAnnounce, 5: LoadShare, 6: TargetSilent},
+    kinds={
+        1: Ping,
+        2: PingRequest,
+        3: Ack,
+        4: FeedAnnounce,
+        5: LoadShare,
+        6: TargetSilent,
+        7: TargetDoubt,
+    },
     max_bytes=MAX_FEED_BYTES,
 )
 PULL_CODEC = Codec(kinds={1: DirectoryPull, 2: DirectoryPart}, max_bytes=MAX_PULL_BYTES)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -67,7 +67,9 @@
     count : callable
         ``count(name, amount)`` adds to a counter.
     report_silence : callable
-        Tells the VMs of this zone about a target that was ejected, by its token and health.
+        Tells other VMs about a target that does not answer, by its token and health.
+    report_doubt : callable
+        Asks the VMs of this zone to try the target that a token names.
     """
 
     def __init__(
@@ -78,8 +80,10 @@
         rng: Random,
         count: Callable[[str, int], None],
         report_silence: Callable[[int, TargetHealth], None] = lambda token, health: None,
+        report_doubt: Callable[[int], None] = lambda token: None,
     ):
         self.report_silence = report_silence
+        self.report_doubt = report_doubt
         self.directory = directory
         self.zone = zone
         self.rng = rng
@@ -174,7 +178,9 @@
         service = pick_service(route=route, flow=packet.flow)
         serving = self.directory.list_serving(service, now_s)
         candidates = [self._rate(target, now_s) for target in serving]
-        target = pick_target(candidates=candidates, zone=self.zone, tried=tried, rng=self.rng)
+        target = self._pick_doubted(serving, tried, now_s) or pick_target(
+            candidates=candidates, zone=self.zone, tried=tried, rng=self.rng
+        )
         if target is None:
             return self._reset(packet, "no target")
         token = build_token(target.identity)
@@ -188,6 +194,20 @@
         self.count("flows_placed", 1)
         return [Forward(packet=packet, target=target, token=token)]
 
+    def _pick_doubted(
+        self, serving: list[Target], tried: tuple[str, ...], now_s: float
+    ) -> Target | None:
+        """Return a target that open flows make doubtful; one new flow tells whether it lives."""
+        if tried:
+            return None
+        for target in serving:
+            health = self.loads.find(build_token(target.identity)).health
+            if health.is_doubted(now_s):
+                health.doubted_s = float("-inf")
+                self.count("targets_tried", 1)
+                return target
+        return None
+
     def _rate(self, target: Target, now_s: float) -> Candidate:
         token = build_token(target.identity)
         load = self.loads.find(token)
@@ -209,6 +229,9 @@
         health = self.loads.find(flow.token).health
         if health.is_dark(now_s):
             return True
+        if flow.repeats and health.answered_s < flow.sent_s:
+            health.observe_doubt(now_s)
+            self.report_doubt(flow.token)
         if not flow.repeats or now_s - flow.sent_s < DARK_SILENCE_S:
             return False
         is_dark = health.observe_open_silence(since_s=flow.sent_s, now_s=now_s)
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -12,6 +12,8 @@
 SAMPLE_WEIGHT = 0.1
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 8.0
+# A target whose request found no answer is tried with a new flow within this time.
+DOUBT_LIFE_S = 0.5
 # A peer's report counts unless this VM has had an answer since about then.
 REPORT_LAG_S = 0.2
 # Openings without an answer, with no sign of life between, that prove a target unreachable. Its
@@ -63,6 +65,8 @@
         No new flows until then.
     unanswered : int
         Openings without an answer since the last answer, those that peers reported included.
+    doubted_s : float
+        When a request was last repeated without an answer of the target to anybody.
     dark_s : float
         When the target was last found to leave an open flow without an answer.
     """
@@ -71,6 +75,7 @@
     ejection_s: float = 0.0
     ejected_until_s: float = 0.0
     unanswered: int = 0
+    doubted_s: float = float("-inf")
     dark_s: float = float("-inf")
 
     def observe_answer(self, now_s: float) -> None:
@@ -79,6 +84,7 @@
         self.ejection_s = 0.0
         self.ejected_until_s = 0.0
         self.unanswered = 0
+        self.doubted_s = float("-inf")
         self.dark_s = float("-inf")
 
     def observe_silence(self, *, since_s: float, now_s: float) -> bool:
@@ -96,6 +102,19 @@
         self.ejected_until_s = now_s + self.ejection_s
         return True
 
+    def observe_doubt(self, now_s: float) -> None:
+        """A caller repeated a request: the target may be dark, or the request slow.
+
+        An opening tells, since its answer does not wait for a slot. If it fails, another target
+        takes the flow a moment later.
+        """
+        if now_s - self.answered_s > REPORT_LAG_S and self.unanswered < DARK_OPENINGS:
+            self.doubted_s = now_s
+
+    def is_doubted(self, now_s: float) -> bool:
+        """Return whether the next new flow has to try the target."""
+        return self.unanswered < DARK_OPENINGS and now_s - self.doubted_s <= DOUBT_LIFE_S
+
     def observe_open_silence(self, *, since_s: float, now_s: float) -> bool:
         """A request sent at `since_s` has no answer; return whether the target is dark."""
         if self.answered_s >= since_s or self.unanswered < DARK_OPENINGS:
@@ -104,14 +123,16 @@
         return True
 
     def observe_report(self, *, ejection_s: float, is_dark: bool, now_s: float) -> None:
-        """A peer of this zone ejected the target for `ejection_s` seconds."""
+        """A peer had no answer; `ejection_s` is 0 if its zone is another one.
+
+        Open flows need a silence of their own besides, since the peer's path may be at fault.
+        """
         if now_s - self.answered_s <= REPORT_LAG_S:
             return
-        self.unanswered += 1
+        self.unanswered += DARK_OPENINGS if is_dark else 1
         self.ejection_s = max(self.ejection_s, min(MAX_EJECTION_S, ejection_s))
-        self.ejected_until_s = max(self.ejected_until_s, now_s + self.ejection_s)
-        if is_dark:
-            self.dark_s = now_s
+        if ejection_s:
+            self.ejected_until_s = max(self.ejected_until_s, now_s + self.ejection_s)
 
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the target gets no new flows."""
--- a/mulberryswitch/forwarding/_placement.py
+++ b/mulberryswitch/forwarding/_placement.py
@@ -14,7 +14,7 @@
 
 # Work per slot by which a target of another zone has to be less loaded. A flow that stays in its
 # zone outlives a cut of the zone, so only a queue at home is worth leaving it.
-SPILL_MARGIN = 0.75
+SPILL_MARGIN = 1.5
 # VMs that place at the same moment do not see each other's choices; looking at a sample of the
 # targets keeps them from all choosing the same one.
 SAMPLE_TARGETS = 6
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -62,6 +62,7 @@
             rng=rng,
             count=self.metrics.count,
             report_silence=lambda token, health: self.peers.report_silence(token, health),
+            report_doubt=lambda token: self.peers.report_doubt(token),
         )
         self.is_stopping = False
         self._packet_s = 0.0
@@ -153,8 +154,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             # Answers that have arrived go before the timers that miss them.
-            self._packets.read()
-            self._perform(self.forwarder.decide_tick(now_s=self.clock()))
+            if self._packets.read():
+                self._perform(self.forwarder.decide_tick(now_s=self.clock()))
 
     def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
         packet = self.adapter.decode_packet(data)
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -5,6 +5,7 @@
 import time
 import zlib
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
 
 import msgpack
@@ -18,6 +19,7 @@
     DirectoryPull,
     FeedAnnounce,
     LoadShare,
+    TargetDoubt,
     TargetSilent,
     ZoneLoads,
 )
@@ -197,19 +199,41 @@
             self._announce(self.clock())
 
     def report_silence(self, token: int, health: TargetHealth) -> None:
-        """Tell the VMs of this zone that a target does not answer."""
-        now_s = self.clock()
+        """Tell the zone and the readers of other zones that a target does not answer."""
         silent = TargetSilent(
             fleet=self.fleet,
             vm=self.settings.vm,
             zone=self.settings.zone,
             token=token,
             ejection_ms=int(health.ejection_s * 1000),
-            is_dark=health.is_dark(now_s),
+            is_dark=health.is_dark(self.clock()),
         )
+        for member in self.feed.list_listeners(self.membership.live()):
+            self._send(member.address, silent)
+
+    def report_doubt(self, token: int) -> None:
+        """Ask the VMs of this zone to try a target with their next new flow."""
+        doubt = TargetDoubt(
+            fleet=self.fleet, vm=self.settings.vm, zone=self.settings.zone, token=token
+        )
+        self._send_near(doubt)
+
+    def _send_near(self, message) -> None:
         for member in self.membership.live():
             if member.zone == self.settings.zone and member.vm != self.settings.vm:
-                self._send(member.address, silent)
+                self._send(member.address, message)
+
+    def _observe_silent(self, silent: TargetSilent, now_s: float) -> None:
+        is_near = silent.zone == self.settings.zone
+        self.loads.find(silent.token).health.observe_report(
+            ejection_s=silent.ejection_ms / 1000 if is_near else 0.0,
+            is_dark=silent.is_dark,
+            now_s=now_s,
+        )
+        if is_near or not self._was_reader:
+            return
+        relayed = replace(silent, vm=self.settings.vm, zone=self.settings.zone, ejection_ms=0)
+        self._send_near(relayed)
 
     def leave(self) -> None:
         """Tell the others that this VM stops."""
@@ -299,7 +323,7 @@
             return
         now_s = self.clock()
         address = f"{sender[0]}:{sender[1]}"
-        if isinstance(message, FeedAnnounce | LoadShare | TargetSilent):
+        if isinstance(message, FeedAnnounce | LoadShare | TargetSilent | TargetDoubt):
             if message.fleet == self.fleet and message.vm != self.settings.vm:
                 self._observe_feed(message, address, now_s)
             return
@@ -312,14 +336,14 @@
     def _observe_feed(self, message, address: str, now_s: float) -> None:
         if isinstance(message, FeedAnnounce):
             self._observe_announce(message, address, now_s)
+        elif isinstance(message, TargetSilent):
+            self._observe_silent(message, now_s)
         elif message.zone != self.settings.zone:
             return
-        elif isinstance(message, LoadShare):
-            self.loads.observe_share(vm=message.vm, entries=message.entries, now_s=now_s)
+        elif isinstance(message, TargetDoubt):
+            self.loads.find(message.token).health.observe_doubt(now_s)
         else:
-            self.loads.find(message.token).health.observe_report(
-                ejection_s=message.ejection_ms / 1000, is_dark=message.is_dark, now_s=now_s
-            )
+            self.loads.observe_share(vm=message.vm, entries=message.entries, now_s=now_s)
 
     def _observe_announce(self, message: FeedAnnounce, address: str, now_s: float) -> None:
         if not message.revision:
--- a/mulberryswitch/transport/_datagrams.py
+++ b/mulberryswitch/transport/_datagrams.py
@@ -68,16 +68,17 @@
             self.unsent += 1
             log.warning("datagram not sent", extra={"error": str(exc)})
 
-    def read(self) -> None:
-        """Hand over what has arrived."""
+    def read(self) -> bool:
+        """Hand over what has arrived; return whether nothing is left."""
         for _ in range(MAX_READS_PER_WAKEUP):
             try:
                 data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
-                return
+                return True
             except OSError as exc:  # an ICMP error of an earlier send
                 log.info("datagram refused", extra={"error": str(exc)})
                 continue
             self.receive(data, sender)
             if self._socket is None:
-                return
+                return True
+        return False
