Whole configurations travel down a tree in the zone, small changes with the announcement

Ruled out: the target (nobody else missed it), the store. Now: no VM serves more than a few others; readers rest after a large value; openings that nobody answers prove nothing against a target, only one that another target answers does (OwnPathTest). A closed flow no longer counts requests, which a property test found.

--- a/mulberryswitch/contracts/_feed.py
+++ b/mulberryswitch/contracts/_feed.py
@@ -46,7 +46,8 @@
 
     `fleet` tells deployments apart. `age_ms` is the time since the store confirmed `revision` to a
     VM that reads it. A sender that holds nothing announces revision 0, which asks the receiver for
-    its own announcement.
+    its own announcement. Few small changes are told at once: `packed` holds those after revision
+    `after`, and is empty otherwise.
     """
 
     fleet: str
@@ -56,6 +57,8 @@
     age_ms: int
     is_reader: bool
     loads: tuple[ZoneLoads, ...]
+    after: int = 0
+    packed: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mulberryswitch/directory/_feed.py
+++ b/mulberryswitch/directory/_feed.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mulberryswitch.vms import READERS_PER_ZONE, Member, pick_readers, rank_readers
 
@@ -23,6 +23,9 @@
 # While the store is away for all, the rest of a large zone does not ask it as well.
 MAX_STALE_RANK = 6
 PULL_RETRY_S = 0.5
+# Whole configurations travel down a tree within the zone: a reader with a small link that sent
+# them to each VM would hold up the packets of its own callers.
+TREE_FANOUT = 4
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,15 +72,31 @@
             default=float("-inf"),
         )
 
-    def pick_source(self, *, revision: int, now_s: float) -> Source | None:
+    def pick_source(
+        self, *, members: Sequence[Member], revision: int, now_s: float
+    ) -> Source | None:
         """Return the peer to pull from, None if no peer is ahead of `revision`."""
-        ahead = [
-            source
-            for source in self._sources.values()
-            if source.revision > revision
-            and now_s - self._pulled_s.get(source.vm, float("-inf")) >= PULL_RETRY_S
-        ]
-        return max(ahead, key=lambda s: (s.zone == self.zone, s.heard_s), default=None)
+        ahead = [source for source in self._sources.values() if source.revision > revision]
+        newest = max(ahead, key=lambda s: (s.zone == self.zone, s.heard_s), default=None)
+        if newest is None:
+            return None
+        parent = self._find_parent(members, newest)
+        if parent is not None and self._may_ask(parent.vm, now_s):
+            return parent
+        usable = [source for source in ahead if self._may_ask(source.vm, now_s)]
+        return max(usable, key=lambda s: (s.zone == self.zone, s.heard_s), default=None)
+
+    def _may_ask(self, vm: str, now_s: float) -> bool:
+        return now_s - self._pulled_s.get(vm, float("-inf")) >= PULL_RETRY_S
+
+    def _find_parent(self, members: Sequence[Member], newest: Source) -> Source | None:
+        """Return this VM's parent in the tree below the readers of the zone."""
+        ranked = rank_readers(zone=self.zone, members=members)
+        rank = next((i for i, member in enumerate(ranked) if member.vm == self.vm), 0)
+        if rank < READERS_PER_ZONE:
+            return None
+        parent = ranked[(rank - READERS_PER_ZONE) // TREE_FANOUT]
+        return replace(newest, vm=parent.vm, zone=parent.zone, address=parent.address)
 
     def is_reader(self, *, members: Sequence[Member], revision: int, now_s: float) -> bool:
         """Return whether this VM has to read the store.
@@ -121,7 +140,11 @@
             for vm, source in self._sources.items()
             if vm in names or now_s - source.heard_s <= 2 * SILENCE_S
         }
-        self._pulled_s = {vm: s for vm, s in self._pulled_s.items() if vm in self._sources}
+        self._pulled_s = {
+            vm: pulled_s
+            for vm, pulled_s in self._pulled_s.items()
+            if now_s - pulled_s < PULL_RETRY_S
+        }
 
     def _near_readers(self) -> list[Source]:
         return [s for s in self._sources.values() if s.zone == self.zone and s.is_reader]
--- a/mulberryswitch/directory/_reading.py
+++ b/mulberryswitch/directory/_reading.py
@@ -10,6 +10,9 @@
 WATCH_S = 2.5
 # Changes that come in quick succession are taken together.
 MIN_SPACING_S = 0.15
+# A large configuration fills a small link for a while; the next one waits.
+LARGE_BYTES = 32_768
+LARGE_SPACING_S = 0.75
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 # A VM without a configuration serves nobody until it has one.
@@ -56,12 +59,13 @@
         self._needs_all = False
         self._not_before_s = 0.0
 
-    def observe_success(self, *, had_changes: bool, now_s: float) -> None:
-        """A read brought an answer."""
+    def observe_success(self, *, size_bytes: int, now_s: float) -> None:
+        """A read brought an answer with values of `size_bytes` in all."""
         self.confirmed_s = now_s
         self.failures = 0
         self._needs_all = False
-        self._not_before_s = now_s + (MIN_SPACING_S if had_changes else 0.0)
+        spacing_s = LARGE_SPACING_S if size_bytes > LARGE_BYTES else MIN_SPACING_S
+        self._not_before_s = now_s + (spacing_s if size_bytes else 0.0)
 
     def observe_failure(self, *, is_loaded: bool, now_s: float, rng: Random) -> None:
         """A read failed."""
--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -43,7 +43,8 @@
     opening : Packet or None
         The packet that opens it, until the target has answered.
     tried : tuple of str
-        Keys of the targets that the opening was sent to, the last one first.
+        Keys of the targets that the opening was sent to, the last one first, then those that
+        refused earlier openings of its caller.
     sent_s : float
         When the opening, or the newest payload, was first sent to the target.
     position : int
@@ -84,11 +85,16 @@
         return self.flows.get(key)
 
     def apply_opening(
-        self, *, packet: Packet, token: int, target: str, is_long: bool, now_s: float
+        self,
+        *,
+        packet: Packet,
+        token: int,
+        tried: tuple[str, ...],
+        is_long: bool,
+        now_s: float,
     ) -> None:
-        """A flow was placed, or placed again on another target."""
+        """A flow was placed, or placed again on another target; see ``Flow`` for `tried`."""
         former = self.flows.get(packet.flow)
-        tried = (target, *(former.tried if former else ()))
         opened_s = former.opened_s if former else now_s
         self.remove(packet.flow)
         if len(self.flows) >= self.max_flows:
@@ -120,6 +126,8 @@
         elif flow.opening is not None:
             self._finish_opening(packet, flow, now_s)
         flow.seen_s = now_s
+        if flow.is_closed:
+            return flow
         self._observe_answer(packet, flow, now_s)
         if packet.payload_bytes:
             self._observe_payload(packet, flow, now_s)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -108,6 +108,9 @@
         if target is None:
             return self._follow_departed(packet, now_s)
         is_long = route is not None and route.kind is TrafficKind.IDEMPOTENT
+        former = self.flows.find(packet.flow)
+        if former is not None and former.opening is not None:
+            self._observe_opened(packet, former, now_s)
         flow = self.flows.apply_packet(packet=packet, is_long=is_long, now_s=now_s)
         if flow is not None and route is not None and self._is_dark(packet, flow, route, now_s):
             self.flows.remove(packet.flow)
@@ -170,7 +173,16 @@
                 "ejection_s": health.ejection_s,
             },
         )
-        self.report_silence(flow.token, health)
+
+    def _observe_opened(self, packet: Packet, flow: Flow, now_s: float) -> None:
+        """A flow opened: the targets that were tried before do not answer, and others may know."""
+        for key in flow.tried:
+            target = self.directory.targets.get(key)
+            if target is None or (token := build_token(target.identity)) == packet.token:
+                continue
+            health = self.loads.find(token).health
+            if health.observe_proof(since_s=flow.opened_s):
+                self.report_silence(token, health)
 
     def _place(
         self, packet: Packet, route: Route, tried: tuple[str, ...], now_s: float
@@ -187,7 +199,7 @@
         self.flows.apply_opening(
             packet=packet,
             token=token,
-            target=target.key,
+            tried=(target.key, *tried),
             is_long=route.kind is TrafficKind.IDEMPOTENT,
             now_s=now_s,
         )
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -64,7 +64,8 @@
     ejected_until_s : float
         No new flows until then.
     unanswered : int
-        Openings without an answer since the last answer, those that peers reported included.
+        Openings that this target left without an answer and another one answered, since its last
+        answer; those that peers reported included.
     doubted_s : float
         When a request was last repeated without an answer of the target to anybody.
     dark_s : float
@@ -93,15 +94,23 @@
         One failure is enough: to choose another target costs little, while a target that crashed
         looks idle and would draw all new flows.
         """
-        if self.answered_s >= since_s:
-            return False
-        self.unanswered += 1
-        if now_s < self.ejected_until_s:
+        if self.answered_s >= since_s or now_s < self.ejected_until_s:
             return False
         self.ejection_s = min(MAX_EJECTION_S, max(FIRST_EJECTION_S, 2 * self.ejection_s))
         self.ejected_until_s = now_s + self.ejection_s
         return True
 
+    def observe_proof(self, *, since_s: float) -> bool:
+        """Another target answered the opening that this one left without an answer.
+
+        So this VM's own path works. Returns whether the proof counts; it does not if the target
+        has answered somebody since.
+        """
+        if self.answered_s >= since_s:
+            return False
+        self.unanswered += 1
+        return True
+
     def observe_doubt(self, now_s: float) -> None:
         """A caller repeated a request: the target may be dark, or the request slow.
 
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -42,6 +42,11 @@
 SHARE_S = 0.3
 ASK_S = 0.2
 PULL_TIMEOUT_S = 1.0
+# A peer that is asked before it has the news itself waits for them.
+PULL_WAIT_S = 0.4
+PULL_CHECK_S = 0.02
+# Changes that fit into a datagram beside the loads are told with the announcement.
+MAX_INLINE_BYTES = 800
 ASKED_PEERS = 3
 # Entries of one datagram; the busiest targets matter most.
 MAX_LOAD_ENTRIES = 100
@@ -141,6 +146,7 @@
         self._shared_s = float("-inf")
         self._asked_s = float("-inf")
         self._was_reader = False
+        self._part: tuple[int, int, DirectoryPart] | None = None
 
     # Decisions that others ask for
 
@@ -273,17 +279,29 @@
                 ZoneLoads(zone=zone, entries=tuple(entries[:MAX_LOAD_ENTRIES]))
                 for zone, entries in [own, *zones]
             ),
+            after=self._announced_revision,
+            packed=self._pack_news(),
         )
 
+    def _pack_news(self) -> bytes:
+        """Return the changes since the last announcement if they are few and small."""
+        if self.directory.revision == self._announced_revision:
+            return b""
+        changes = self.directory.list_changes(self._announced_revision) or []
+        if sum(len(record.value or b"") for record in changes) > 4 * MAX_INLINE_BYTES:
+            return b""
+        packed = pack_records(changes) if changes else b""
+        return packed if len(packed) <= MAX_INLINE_BYTES else b""
+
     def _announce(self, now_s: float) -> None:
         if not self._was_reader or not self.directory.revision:
             return
         if now_s - self._announced_s < ANNOUNCE_S:
             return
         self._announced_s = now_s
-        self._announced_revision = self.directory.revision
         near = self._build_announce(now_s, is_near=True)
         far = self._build_announce(now_s)
+        self._announced_revision = self.directory.revision
         for member in self.feed.list_listeners(self.membership.live()):
             self._send(member.address, near if member.zone == self.settings.zone else far)
 
@@ -363,6 +381,17 @@
         )
         if message.is_reader:
             self._observe_loads(message, now_s)
+        if message.packed and message.after <= self.directory.revision < message.revision:
+            self._observe_news(message, now_s)
+
+    def _observe_news(self, message: FeedAnnounce, now_s: float) -> None:
+        try:
+            records = unpack_records(message.packed)
+        except DecodeError as exc:
+            log.warning("news not readable", extra={"peer": message.vm, "error": str(exc)})
+            return
+        self.directory.apply_records(records=records, revision=message.revision, now_s=now_s)
+        self.report_change()
 
     def _observe_loads(self, message: FeedAnnounce, now_s: float) -> None:
         is_near = message.zone == self.settings.zone
@@ -378,7 +407,9 @@
     # Pulls
 
     async def _pull(self, now_s: float) -> None:
-        source = self.feed.pick_source(revision=self.directory.revision, now_s=now_s)
+        source = self.feed.pick_source(
+            members=self.membership.live(), revision=self.directory.revision, now_s=now_s
+        )
         if source is None:
             return
         try:
@@ -417,23 +448,33 @@
         try:
             async with asyncio.timeout(PULL_TIMEOUT_S):
                 async for messages in read_messages(reader, PULL_CODEC):
-                    self._answer(messages[0], writer)
+                    await self._answer(messages[0], writer)
                     await writer.drain()
         except (OSError, DecodeError) as exc:
             log.info("pull not served", extra={"error": str(exc) or type(exc).__name__})
         finally:
             writer.close()
 
-    def _answer(self, pull, writer: asyncio.StreamWriter) -> None:
+    async def _answer(self, pull, writer: asyncio.StreamWriter) -> None:
         if not isinstance(pull, DirectoryPull) or pull.fleet != self.fleet:
             raise DecodeError("not a pull of this fleet")
-        changes = self.directory.list_changes(pull.after)
+        end_s = self.clock() + PULL_WAIT_S
+        while self.directory.revision <= pull.after and self.clock() < end_s:
+            await asyncio.sleep(PULL_CHECK_S)
+        self.count("pulls_served", 1)
+        write_messages(writer, PULL_CODEC, [self._build_part(pull.after)])
+
+    def _build_part(self, after: int) -> DirectoryPart:
+        """Return the answer to a pull; many peers ask for the same one."""
+        if self._part is not None and self._part[:2] == (after, self.directory.revision):
+            return self._part[2]
+        changes = self.directory.list_changes(after)
         is_whole = changes is None
         part = DirectoryPart(
             revision=self.directory.revision,
-            after=pull.after,
+            after=after,
             is_whole=is_whole,
             packed=pack_records(self.directory.list_records() if is_whole else changes),
         )
-        self.count("pulls_served", 1)
-        write_messages(writer, PULL_CODEC, [part])
+        self._part = (after, self.directory.revision, part)
+        return part
--- a/mulberryswitch/front/_store_reader.py
+++ b/mulberryswitch/front/_store_reader.py
@@ -87,7 +87,8 @@
         now_s = self.clock()
         if self.planner.failures:
             log.info("store answers again", extra={"failures": self.planner.failures})
-        self.planner.observe_success(had_changes=bool(changes.records), now_s=now_s)
+        size_bytes = sum(len(record.value or b"x") for record in changes.records)
+        self.planner.observe_success(size_bytes=size_bytes, now_s=now_s)
         self._apply(changes, is_whole, now_s)
 
     def _apply(self, changes: Changes, is_whole: bool, now_s: float) -> None:
