--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -175,7 +175,7 @@
                 self._packets.send(data, address)
 
     def _observe_change(self) -> None:
-        self.peers.announce_now()
+        self.peers.observe_change()
         self._perform(self.forwarder.observe_change(self.clock()))
 
 
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -1,38 +1,27 @@
-"""The task that speaks with the other VMs: membership, announcements and pulls."""
+"""The task that speaks with the other VMs: membership, announcements and loads."""
 
 import asyncio
 import logging
 import time
-import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from random import Random
 
-import msgpack
-
 from mulberryswitch.contracts import (
     FEED_CODEC,
-    MAX_PULL_BYTES,
-    PULL_CODEC,
     DecodeError,
-    DirectoryPart,
-    DirectoryPull,
     FeedAnnounce,
     LoadShare,
     TargetDoubt,
     TargetSilent,
     ZoneLoads,
 )
-from mulberryswitch.directory import Directory, Feed, Record, Source
+from mulberryswitch.directory import Directory, Feed, Source
 from mulberryswitch.forwarding import TargetHealth, TargetLoads, subtract_entries
-from mulberryswitch.transport import (
-    DatagramSocket,
-    parse_endpoint,
-    read_messages,
-    write_messages,
-)
+from mulberryswitch.transport import DatagramSocket, parse_endpoint
 from mulberryswitch.vms import Membership
 
+from ._pulls import Pulls, pack_records, unpack_records
 from ._settings import Address, FrontSettings
 
 __all__ = ["Peers"]
@@ -41,10 +30,6 @@
 ANNOUNCE_S = 0.3
 SHARE_S = 0.3
 ASK_S = 0.2
-PULL_TIMEOUT_S = 1.0
-# A peer that is asked before it has the news itself waits for them.
-PULL_WAIT_S = 0.4
-PULL_CHECK_S = 0.02
 # Changes that fit into a datagram beside the loads are told with the announcement.
 MAX_INLINE_BYTES = 800
 ASKED_PEERS = 3
@@ -54,40 +39,6 @@
 log = logging.getLogger("peers")
 
 
-def pack_records(records: Iterable[Record]) -> bytes:
-    """Return records compressed for a pull."""
-    rows = [(r.key, r.revision, r.created_revision, r.value) for r in records]
-    return zlib.compress(msgpack.packb(rows), level=1)
-
-
-def unpack_records(packed: bytes) -> list[Record]:
-    """Return the records of a pull.
-
-    Raises
-    ------
-    DecodeError
-        If the bytes are not what ``pack_records`` returns, or too many.
-    """
-    try:
-        unzip = zlib.decompressobj()
-        data = unzip.decompress(packed, MAX_PULL_BYTES)
-        if unzip.unconsumed_tail:
-            raise DecodeError(f"records of more than {MAX_PULL_BYTES} bytes")
-        return [_build_record(*row) for row in msgpack.unpackb(data)]
-    except DecodeError:
-        raise
-    except Exception as exc:  # zlib and msgpack raise unrelated types on bad input
-        raise DecodeError(f"bad records: {type(exc).__name__}") from exc
-
-
-def _build_record(key: str, revision: int, created: int, value: bytes | None) -> Record:
-    if (type(key), type(revision), type(created)) != (str, int, int):
-        raise DecodeError("a record has fields of the wrong type")
-    if value is not None and type(value) is not bytes:
-        raise DecodeError("a record has a value that is no bytes")
-    return Record(key=key, revision=revision, created_revision=created, value=value)
-
-
 class Peers:
     """Owner of the sockets to other VMs.
 
@@ -140,13 +91,20 @@
             port=settings.peer_address.port,
             receive=self._receive,
         )
-        self._server: asyncio.Server | None = None
+        self.pulls = Pulls(
+            address=settings.peer_address,
+            fleet=self.fleet,
+            directory=directory,
+            feed=self.feed,
+            report_change=report_change,
+            count=count,
+            clock=clock,
+        )
         self._announced_s = float("-inf")
         self._announced_revision = 0
         self._shared_s = float("-inf")
         self._asked_s = float("-inf")
         self._was_reader = False
-        self._part: tuple[int, int, DirectoryPart] | None = None
 
     # Decisions that others ask for
 
@@ -178,7 +136,7 @@
     async def start(self) -> None:
         """Open the sockets."""
         self._socket.start()
-        self._server = await asyncio.start_server(self._serve, *self.settings.peer_address)
+        await self.pulls.start()
         self.apply_seeds(self.settings.seeds)
 
     def apply_seeds(self, seeds: Iterable[Address]) -> None:
@@ -196,10 +154,11 @@
             self._announce(now_s)
             self._share(now_s)
             self._ask(now_s)
-            await self._pull(now_s)
+            await self.pulls.pull(members=self.membership.live(), now_s=now_s)
 
-    def announce_now(self) -> None:
-        """Announce a new revision without waiting for the next turn."""
+    def observe_change(self) -> None:
+        """The directory has changed: tell it without waiting for the next turn."""
+        self.pulls.observe_change()
         if self._was_reader and self.directory.revision != self._announced_revision:
             self._announced_s = float("-inf")
             self._announce(self.clock())
@@ -248,8 +207,7 @@
     def stop(self) -> None:
         """Close the sockets."""
         self._socket.stop()
-        if self._server is not None:
-            self._server.close()
+        self.pulls.stop()
 
     # Sending
 
@@ -403,78 +361,3 @@
             elif is_near or loads.zone == message.zone:
                 # A zone's own reader knows it best; a near one only passes it on.
                 self.loads.observe_zone(zone=loads.zone, entries=loads.entries, now_s=now_s)
-
-    # Pulls
-
-    async def _pull(self, now_s: float) -> None:
-        source = self.feed.pick_source(
-            members=self.membership.live(), revision=self.directory.revision, now_s=now_s
-        )
-        if source is None:
-            return
-        try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                part = await self._exchange(source.address)
-            records = unpack_records(part.packed)
-        except (OSError, DecodeError) as exc:
-            log.info("pull failed", extra={"peer": source.vm, "error": str(exc) or "timeout"})
-            self.feed.observe_pull_failure(vm=source.vm, now_s=self.clock())
-            return
-        self._apply(part, records, source)
-
-    def _apply(self, part: DirectoryPart, records: list[Record], source: Source) -> None:
-        apply = self.directory.apply_snapshot if part.is_whole else self.directory.apply_records
-        if not part.is_whole and part.after > self.directory.revision:
-            return
-        former = self.directory.revision
-        if apply(records=records, revision=part.revision, now_s=self.clock()):
-            self.report_change()
-        if self.directory.revision <= former:
-            self.feed.observe_pull_failure(vm=source.vm, now_s=self.clock())
-
-    async def _exchange(self, address: str) -> DirectoryPart:
-        reader, writer = await asyncio.open_connection(*parse_endpoint(address))
-        try:
-            pull = DirectoryPull(fleet=self.fleet, after=self.directory.revision)
-            write_messages(writer, PULL_CODEC, [pull])
-            async for messages in read_messages(reader, PULL_CODEC):
-                if isinstance(messages[0], DirectoryPart):
-                    return messages[0]
-            raise DecodeError("stream ended without an answer")
-        finally:
-            writer.transport.abort()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                async for messages in read_messages(reader, PULL_CODEC):
-                    await self._answer(messages[0], writer)
-                    await writer.drain()
-        except (OSError, DecodeError) as exc:
-            log.info("pull not served", extra={"error": str(exc) or type(exc).__name__})
-        finally:
-            writer.close()
-
-    async def _answer(self, pull, writer: asyncio.StreamWriter) -> None:
-        if not isinstance(pull, DirectoryPull) or pull.fleet != self.fleet:
-            raise DecodeError("not a pull of this fleet")
-        end_s = self.clock() + PULL_WAIT_S
-        while self.directory.revision <= pull.after and self.clock() < end_s:
-            await asyncio.sleep(PULL_CHECK_S)
-        self.count("pulls_served", 1)
-        write_messages(writer, PULL_CODEC, [self._build_part(pull.after)])
-
-    def _build_part(self, after: int) -> DirectoryPart:
-        """Return the answer to a pull; many peers ask for the same one."""
-        if self._part is not None and self._part[:2] == (after, self.directory.revision):
-            return self._part[2]
-        changes = self.directory.list_changes(after)
-        is_whole = changes is None
-        part = DirectoryPart(
-            revision=self.directory.revision,
-            after=after,
-            is_whole=is_whole,
-            packed=pack_records(self.directory.list_records() if is_whole else changes),
-        )
-        self._part = (after, self.directory.revision, part)
-        return part
