--- a/mulberryswitch/forwarding/__init__.py
+++ b/mulberryswitch/forwarding/__init__.py
@@ -3,7 +3,7 @@
 from ._flows import Flow, FlowTable
 from ._forwarder import Forwarder
 from ._loads import TargetHealth, TargetLoad, TargetLoads, subtract_entries
-from ._packets import Action, FlowKey, Forward, Packet, Reset
+from ._packets import Action, FlowKey, Forward, Packet, Reset, format_flow
 from ._placement import Candidate, pick_service, pick_target
 
 __all__ = [
@@ -19,6 +19,7 @@
     "TargetHealth",
     "TargetLoad",
     "TargetLoads",
+    "format_flow",
     "pick_service",
     "pick_target",
     "subtract_entries",
--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -3,6 +3,7 @@
 The table is only a view: a VM that lacks a flow's entry forwards it by its token all the same.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ._loads import TargetLoads
@@ -72,10 +73,25 @@
 
 
 class FlowTable:
-    """Flows by key; keeps the counts of `loads` in step with them."""
+    """Flows by key; keeps the counts of `loads` in step with them.
 
-    def __init__(self, *, loads: TargetLoads, max_flows: int = MAX_FLOWS):
+    Parameters
+    ----------
+    loads : TargetLoads
+    report_answer : callable
+        Takes the token of a target and the time that it took to answer a request, in seconds.
+    max_flows : int
+    """
+
+    def __init__(
+        self,
+        *,
+        loads: TargetLoads,
+        report_answer: Callable[[int, float], None] = lambda token, answer_s: None,
+        max_flows: int = MAX_FLOWS,
+    ):
         self.loads = loads
+        self.report_answer = report_answer
         self.max_flows = max_flows
         self.flows: dict[FlowKey, Flow] = {}
         self.openings: dict[FlowKey, Flow] = {}
@@ -194,6 +210,7 @@
         flow.repeats = 0
         if flow.busy:
             load.observe_service(now_s - flow.sent_s)
+            self.report_answer(flow.token, now_s - flow.sent_s)
             self._set_busy(flow, False)
 
     def _observe_payload(self, packet: Packet, flow: Flow, now_s: float) -> None:
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -17,7 +17,7 @@
 
 from ._flows import Flow, FlowTable
 from ._loads import TargetHealth, TargetLoads
-from ._packets import Action, FlowKey, Forward, Packet, Reset
+from ._packets import Action, FlowKey, Forward, Packet, Reset, format_flow
 from ._placement import Candidate, pick_service, pick_target
 
 __all__ = ["Forwarder"]
@@ -70,6 +70,8 @@
         Tells other VMs about a target that does not answer, by its token and health.
     report_doubt : callable
         Asks the VMs of this zone to try the target that a token names.
+    report_answer : callable
+        Takes a service and the time that a request to it took, in seconds.
     """
 
     def __init__(
@@ -81,7 +83,9 @@
         count: Callable[[str, int], None],
         report_silence: Callable[[int, TargetHealth], None] = lambda token, health: None,
         report_doubt: Callable[[int], None] = lambda token: None,
+        report_answer: Callable[[str, float], None] = lambda service, answer_s: None,
     ):
+        self.report_answer = report_answer
         self.report_silence = report_silence
         self.report_doubt = report_doubt
         self.directory = directory
@@ -89,7 +93,7 @@
         self.rng = rng
         self.count = count
         self.loads = TargetLoads()
-        self.flows = FlowTable(loads=self.loads)
+        self.flows = FlowTable(loads=self.loads, report_answer=self._observe_answer)
         self._held: dict[FlowKey, _Held] = {}
         self._last_tick_s: float | None = None
         self._pruned_s = 0.0
@@ -204,8 +208,41 @@
             now_s=now_s,
         )
         self.count("flows_placed", 1)
+        self._log_placement(packet, target, candidates, tried, now_s)
         return [Forward(packet=packet, target=target, token=token)]
 
+    def _log_placement(
+        self,
+        packet: Packet,
+        target: Target,
+        candidates: list[Candidate],
+        tried: tuple[str, ...],
+        now_s: float,
+    ) -> None:
+        chosen = next(c for c in candidates if c.target is target)
+        log.info(
+            "flow placed",
+            extra={
+                "flow": format_flow(packet.flow),
+                "target": target.key,
+                "token": build_token(target.identity),
+                "work": round(chosen.work, 2),
+                "speed": chosen.speed,
+                "target_zone": target.zone,
+                "ejected": sum(c.is_ejected for c in candidates),
+                "candidates": len(candidates),
+                "tried": tried,
+                "version": self.directory.version,
+                "revision": self.directory.revision,
+                "changed_ago_s": round(now_s - self.directory.changed_s, 2),
+            },
+        )
+
+    def _observe_answer(self, token: int, answer_s: float) -> None:
+        target = self.directory.find_target(token)
+        if target is not None:
+            self.report_answer(target.service, answer_s)
+
     def _pick_doubted(
         self, serving: list[Target], tried: tuple[str, ...], now_s: float
     ) -> Target | None:
@@ -269,7 +306,16 @@
         if packet.resets:
             return []
         self.count("flows_reset", 1)
-        log.info("flow reset", extra={"flow": packet.flow, "reason": reason})
+        log.info(
+            "flow reset",
+            extra={
+                "flow": format_flow(packet.flow),
+                "reason": reason,
+                "token": packet.token,
+                "version": self.directory.version,
+                "revision": self.directory.revision,
+            },
+        )
         return [Reset(packet=packet)]
 
     # Time
@@ -314,3 +360,4 @@
         if packet.flow in self._held or len(self._held) < MAX_HELD:
             self._held[packet.flow] = _Held(packet=packet, since_s=now_s)
             self.count("openings_held", 1)
+            log.info("opening waits for a configuration", extra={"flow": format_flow(packet.flow)})
--- a/mulberryswitch/forwarding/_packets.py
+++ b/mulberryswitch/forwarding/_packets.py
@@ -1,16 +1,23 @@
 """Packets of callers and what is done with them, free of any wire format."""
 
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
 from mulberryswitch.directory import RouteKey, Target
 
-__all__ = ["Action", "FlowKey", "Forward", "Packet", "Reset"]
+__all__ = ["Action", "FlowKey", "Forward", "Packet", "Reset", "format_flow"]
 
 FlowKey = tuple[int, int, int, int]
 """Caller's IPv4 address and port, then the route's."""
 
 
+def format_flow(flow: FlowKey) -> str:
+    """Return a flow as callers' tools show it, such as ``100.64.0.7:40001>198.18.0.1:443``."""
+    caller, caller_port, route, route_port = flow
+    return f"{IPv4Address(caller)}:{caller_port}>{IPv4Address(route)}:{route_port}"
+
+
 class Packet(NamedTuple):
     """One packet of a caller.
 
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -63,6 +63,7 @@
             count=self.metrics.count,
             report_silence=lambda token, health: self.peers.report_silence(token, health),
             report_doubt=lambda token: self.peers.report_doubt(token),
+            report_answer=self.metrics.observe_answer,
         )
         self.is_stopping = False
         self._packet_s = 0.0
--- a/mulberryswitch/front/tests/builders.py
+++ b/mulberryswitch/front/tests/builders.py
@@ -80,10 +80,19 @@
 
 
 def build_bytes(
-    *, caller_port: int = 1000, port: int = 443, flags: int = ACK, token: int = 0, seq: int = 7
+    *,
+    caller_port: int = 1000,
+    port: int = 443,
+    flags: int = ACK,
+    token: int = 0,
+    seq: int = 7,
+    ack: int = 0,
+    payload: bytes = b"",
 ) -> bytes:
     route, caller = (struct.unpack("!I", socket.inet_aton(h))[0] for h in (ROUTE_HOST, CALLER_HOST))
-    return HEAD.pack(token, 1, port, route, caller_port, caller, 0, flags, seq, 0)
+    size = len(payload)
+    head = HEAD.pack(token, 1, port, route, caller_port, caller, size, flags, seq, ack)
+    return head + payload
 
 
 class Sink(asyncio.DatagramProtocol):
--- a/mulberryswitch/front/tests/test_front.py
+++ b/mulberryswitch/front/tests/test_front.py
@@ -88,6 +88,18 @@
             self.assertEqual([answer.status for answer in answers.values()], [200, 200, 200, 404])
             self.assertIn(b"mulberryswitch_state", answers["/metrics"].body)
 
+    async def test_answer_times_reach_the_histogram(self):
+        async with RunningFront(self.settings) as front:
+            await wait_until(lambda: front.is_ready)
+            self.send(build_opening())
+            await wait_until(lambda: self.received)
+            token = int.from_bytes(self.received[0][8:12], "big")
+            for changes in ({}, {"payload": b"x" * 9}, {"seq": 16, "ack": 600}):
+                self.send(build_bytes(token=token, **changes))
+            await wait_until(lambda: front.metrics.counts["packets"] == 4)
+            body, _ = front.metrics.render({})
+            self.assertIn(b'mulberryswitch_answer_seconds_count{service="feeds"} 1', body)
+
 
 class ChangeTest(FrontTestCase):
     """Guards news of the store, and what comes of its troubles."""
--- a/mulberryswitch/observability/_logs.py
+++ b/mulberryswitch/observability/_logs.py
@@ -96,7 +96,13 @@
         self._rest = self._rest[written:]
 
 
-def configure_logs(*, level: str, vm: str, handler: logging.Handler | None = None) -> None:
+def configure_logs(
+    *,
+    level: str,
+    vm: str,
+    handler: logging.Handler | None = None,
+    limit: int = MAX_RECORDS_PER_WINDOW,
+) -> None:
     """Write JSON lines, each with the VM's name.
 
     Parameters
@@ -107,9 +113,11 @@
         Name of this VM.
     handler : logging.Handler, optional
         Where the lines go; standard error by default.
+    limit : int
+        Lines of one message in each window; see ``RateLimitFilter``.
     """
     handler = handler or logging.StreamHandler()
-    handler.addFilter(RateLimitFilter())
+    handler.addFilter(RateLimitFilter(limit=limit))
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- a/mulberryswitch/observability/_metrics.py
+++ b/mulberryswitch/observability/_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import cached_property
@@ -13,6 +13,8 @@
 
 __all__ = ["Metrics"]
 
+# Samples between two scrapes; older ones are counted as dropped.
+MAX_WAITING_SAMPLES = 10_000
 WAIT_BUCKETS_S = [0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0]
 
 
@@ -36,6 +38,7 @@
     def __init__(self, *, registry: Registry | None = None):
         self.registry = registry
         self.counts: defaultdict[str, int] = defaultdict(int)
+        self._answers: deque[tuple[str, float]] = deque(maxlen=MAX_WAITING_SAMPLES)
 
     @cached_property
     def _collectors(self) -> _Collectors:
@@ -69,14 +72,22 @@
         self._collectors.wait.observe({"service": service}, wait_s)
 
     def observe_answer(self, service: str, answer_s: float) -> None:
-        """Record how long a target took to answer a request, in seconds."""
-        self._collectors.service.observe({"service": service}, answer_s)
+        """Record how long a target took to answer a request, in seconds.
+
+        The packet path only keeps the sample; it enters the histogram with the next scrape.
+        """
+        if len(self._answers) == MAX_WAITING_SAMPLES:
+            self.counts["answer_samples_dropped"] += 1
+        self._answers.append((service, answer_s))
 
     def render(self, gauges: Mapping[str, float], accept: str = "") -> tuple[bytes, Mapping]:
         """Return body and headers of a scrape; `gauges` are states read at this moment."""
         from aioprometheus import render
 
         collectors = self._collectors
+        while self._answers:
+            service, answer_s = self._answers.popleft()
+            collectors.service.observe({"service": service}, answer_s)
         for name, value in self.counts.items():
             collectors.counter.set({"event": name}, value)
         for name, value in gauges.items():
--- a/mulberryswitch/observability/tests/test_observability.py
+++ b/mulberryswitch/observability/tests/test_observability.py
@@ -1,13 +1,19 @@
 """Tests of the log rate limit, the metrics and the spans."""
 
 import logging
+import os
 import unittest
 
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import SimpleSpanProcessor
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 
-from mulberryswitch.observability import Metrics, RateLimitFilter, build_hop_recorder
+from mulberryswitch.observability import (
+    Metrics,
+    NonBlockingHandler,
+    RateLimitFilter,
+    build_hop_recorder,
+)
 
 
 def build_record(message: str) -> logging.LogRecord:
@@ -35,6 +41,25 @@
         self.assertLessEqual(len(limit._windows), 1000)
 
 
+class NonBlockingHandlerTest(unittest.TestCase):
+    """Guards the packet path against a log that nobody reads."""
+
+    def test_a_full_pipe_drops_lines_and_says_so(self):
+        reader, writer = os.pipe()
+        handler = NonBlockingHandler(descriptor=writer)
+        for _ in range(3000):
+            handler.handle(build_record("x" * 100))
+        self.assertGreater(handler.dropped, 0)
+        text = os.read(reader, 10_000_000)
+        handler.setFormatter(logging.Formatter("%(message)s %(dropped)s", defaults={"dropped": 0}))
+        handler.handle(build_record("after"))
+        text = os.read(reader, 10_000_000)
+        self.assertRegex(text.decode(), r"after [1-9]\d*\n$")
+        os.close(reader)
+        handler.handle(build_record("nobody reads"))
+        os.close(writer)
+
+
 class MetricsTest(unittest.TestCase):
     """Guards the names that alerts rely on."""
 
--- a/mulberryswitch/platform/__main__.py
+++ b/mulberryswitch/platform/__main__.py
@@ -16,6 +16,9 @@
 from ._adapter import ADAPTER, SETTINGS_VARIABLE  # noqa: E402
 
 EXIT_BAD_SETTINGS = 2
+# Lines of one message in 10 s; together with the few kinds of lines this keeps a VM under 200 lines
+# a second.
+MAX_LINES_PER_MESSAGE = 500
 
 log = logging.getLogger("front")
 
@@ -30,7 +33,7 @@
         configure_logs(level="info", vm="", handler=handler)
         log.error("settings cannot be used", extra={"path": str(path), "error": str(exc)})
         return EXIT_BAD_SETTINGS
-    configure_logs(level="info", vm=settings.vm, handler=handler)
+    configure_logs(level="info", vm=settings.vm, handler=handler, limit=MAX_LINES_PER_MESSAGE)
     asyncio.run(run_front(settings_path=path, adapter=ADAPTER, settings=settings))
     return 0
 
