--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -1,6 +1,7 @@
 """The daemon of one VM on the direct path."""
 
 import asyncio
+import contextlib
 import logging
 import signal
 import time
@@ -22,6 +23,8 @@
 __all__ = ["Front", "run_front"]
 
 TICK_S = 0.01
+# Below the gap that the forwarder takes for a pause of this process.
+IDLE_TICK_S = 0.2
 RELOAD_CHECK_S = 2.0
 # Pause before a task that failed starts again.
 RESTART_S = 0.2
@@ -67,6 +70,7 @@
         )
         self.is_stopping = False
         self._packet_s = 0.0
+        self._opening = asyncio.Event()
         self._packets = DatagramSocket(
             host=settings.packet_address.host,
             port=settings.packet_address.port,
@@ -152,12 +156,22 @@
             await asyncio.sleep(TICK_S)
 
     async def _tick(self) -> None:
+        """Follow up openings, which only a busy VM needs often."""
         while True:
-            await asyncio.sleep(TICK_S)
+            if self.forwarder.flows.openings:
+                await asyncio.sleep(TICK_S)
+            else:
+                await self._wait_for_opening()
             # Answers that have arrived go before the timers that miss them.
             if self._packets.read():
                 self._perform(self.forwarder.decide_tick(now_s=self.clock()))
 
+    async def _wait_for_opening(self) -> None:
+        self._opening.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._opening.wait()
+
     def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
         packet = self.adapter.decode_packet(data)
         if packet is None:
@@ -166,6 +180,8 @@
         self.metrics.count("packets")
         self._packet_s = now_s = self.clock()
         self._perform(self.forwarder.observe_packet(packet=packet, now_s=now_s))
+        if packet.opens:
+            self._opening.set()
 
     def _perform(self, actions: list[Action]) -> None:
         for action in actions:
