--- a/mulberryswitch/platform/_settings.py
+++ b/mulberryswitch/platform/_settings.py
@@ -2,6 +2,8 @@
 
 from mulberryswitch.front import Address, FrontSettings, FrontSettingsError
 
+from ._early import PACKET_FIELD
+
 __all__ = ["parse_settings"]
 
 
@@ -22,7 +24,7 @@
     return FrontSettings(
         vm=_get(fields, "nodeName"),
         zone=_get(fields, "zone"),
-        packet_address=_parse_address("listen.datagramAddr", _get(fields, "listen.datagramAddr")),
+        packet_address=_parse_address(PACKET_FIELD, _get(fields, PACKET_FIELD)),
         ready_address=_parse_address("listen.ready", _get(fields, "listen.ready")),
         peer_address=Address(ip, peer_port),
         metrics_address=Address(ip, peer_port + 1),
