--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -17,7 +17,7 @@
 
 from ._flows import Flow, FlowTable
 from ._loads import TargetHealth, TargetLoads
-from ._packets import Action, Forward, Packet, Reset, format_flow
+from ._packets import Action, FlowKey, Forward, Packet, Reset, format_flow
 from ._placement import Candidate, pick_service, pick_target
 
 __all__ = ["Forwarder"]
@@ -28,7 +28,7 @@
 # A caller whose opening is unanswered for this long and who opens another flow was refused.
 REFUSED_S = 0.012
 MAX_PLACEMENTS = 4
-# A VM that starts keeps packets for a configuration as long as callers wait for an answer.
+# A VM that starts keeps openings for a configuration as long as callers wait for an answer.
 HOLD_S = 1.2
 MAX_HELD = 2_000
 # Silence of a target after which an open flow to it is reset so that its caller tries again.
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Held:
-    """A packet that waits for the first configuration."""
+    """An opening that waits for the first configuration."""
 
     packet: Packet
     since_s: float
@@ -94,7 +94,7 @@
         self.count = count
         self.loads = TargetLoads()
         self.flows = FlowTable(loads=self.loads, report_answer=self._observe_answer)
-        self._held: list[_Held] = []
+        self._held: dict[FlowKey, _Held] = {}
         self._last_tick_s: float | None = None
         self._pruned_s = 0.0
 
@@ -102,9 +102,6 @@
 
     def observe_packet(self, *, packet: Packet, now_s: float) -> list[Action]:
         """Return what to do with a packet of a caller."""
-        if not self.directory.is_loaded:
-            self._hold(packet, now_s)
-            return []
         if packet.opens:
             return self._observe_opening(packet, now_s)
         route = self.directory.routes.get(packet.route_key)
@@ -125,6 +122,9 @@
         return [Forward(packet=packet, target=target)]
 
     def _observe_opening(self, packet: Packet, now_s: float) -> list[Action]:
+        if not self.directory.is_loaded:
+            self._hold(packet, now_s)
+            return []
         route = self.directory.routes.get(packet.route_key)
         if route is None:
             return self._reset(packet, "no route")
@@ -290,7 +290,7 @@
 
     def _follow_departed(self, packet: Packet, now_s: float) -> list[Action]:
         """Decide on a packet whose token names no listed target."""
-        if packet.token == NO_TOKEN:
+        if packet.token == NO_TOKEN or not self.directory.is_loaded:
             return []
         departure = self.directory.find_departure(packet.token)
         if departure is not None and not departure.is_gone(now_s):
@@ -321,15 +321,16 @@
     # Time
 
     def observe_change(self, now_s: float) -> list[Action]:
-        """The directory has changed: decide on the packets that waited for it."""
-        if not self.directory.is_loaded or not self._held:
+        """The directory has changed: place the openings that waited for it."""
+        held = list(self._held.values())
+        if not self.directory.is_loaded or not held:
             return []
-        held, self._held = self._held, []
+        self._held.clear()
         return [
             action
             for item in held
             if now_s - item.since_s <= HOLD_S
-            for action in self.observe_packet(packet=item.packet, now_s=now_s)
+            for action in self._observe_opening(item.packet, now_s)
         ]
 
     def decide_tick(self, *, now_s: float) -> list[Action]:
@@ -351,13 +352,12 @@
         self._pruned_s = now_s
         self.flows.prune(now_s=now_s, idle_timeout_s=self.directory.idle_timeout_s)
         self.loads.drop_unknown(self.directory.by_token, now_s)
-        self._held = [held for held in self._held if now_s - held.since_s <= HOLD_S]
+        self._held = {
+            key: held for key, held in self._held.items() if now_s - held.since_s <= HOLD_S
+        }
 
     def _hold(self, packet: Packet, now_s: float) -> None:
-        if len(self._held) >= MAX_HELD:
-            self.count("packets_not_held", 1)
-            return
-        self._held.append(_Held(packet=packet, since_s=now_s))
-        self.count("packets_held", 1)
-        if packet.opens:
+        if packet.flow in self._held or len(self._held) < MAX_HELD:
+            self._held[packet.flow] = _Held(packet=packet, since_s=now_s)
+            self.count("openings_held", 1)
             log.info("opening waits for a configuration", extra={"flow": format_flow(packet.flow)})
--- a/mulberryswitch/forwarding/tests/test_forwarder.py
+++ b/mulberryswitch/forwarding/tests/test_forwarder.py
@@ -131,24 +131,6 @@
         directory.apply_snapshot(records=records, revision=6, now_s=2.0)
         self.assertEqual(forwarder.observe_change(2.0), [])
 
-    def test_packets_of_open_flows_wait_for_the_configuration(self):
-        """A caller repeats a lost request only after longer and longer times."""
-        directory = Directory(decode=decode)
-        forwarder = build_forwarder(directory)
-        packet = build_packet(token=token_of("t1"), sequence=1, payload_bytes=9)
-        self.assertEqual(forwarder.observe_packet(packet=packet, now_s=0.0), [])
-        records = [build_config_record(5, routes={443: "feeds"}), build_target_record("t1", 6)]
-        directory.apply_snapshot(records=records, revision=6, now_s=0.3)
-        (action,) = forwarder.observe_change(0.3)
-        self.assertEqual((action.target.key, action.token), ("t1", 0))
-
-    def test_a_flood_before_the_configuration_is_bounded(self):
-        forwarder = build_forwarder(Directory(decode=decode))
-        for port in range(5000):
-            forwarder.observe_packet(packet=build_packet(caller_port=port, opens=True), now_s=0.0)
-        self.assertEqual(forwarder.counts["packets_held"], 2000)
-        self.assertEqual(forwarder.counts["packets_not_held"], 3000)
-
     def test_packets_of_open_flows_are_not_reset_before_the_configuration(self):
         forwarder = build_forwarder(Directory(decode=decode))
         packet = build_packet(token=token_of("t1"), sequence=1)
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import signal
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -49,23 +48,13 @@
         Source of all choices.
     clock : callable
         Returns seconds that never go back.
-    packet_socket : socket, optional
-        Bound to the packet address; what it holds is decided on first.
     """
 
-    def __init__(
-        self,
-        *,
-        settings: FrontSettings,
-        adapter: Adapter,
-        rng: Random,
-        clock: Callable[[], float] = time.monotonic,
-        packet_socket: socket.socket | None = None,
-    ):
+    def __init__(self, *, settings: FrontSettings, adapter: Adapter, rng: Random, clock=None):
         self.settings = settings
         self.adapter = adapter
         self.rng = rng
-        self.clock = clock
+        self.clock = clock or time.monotonic
         self.metrics = Metrics()
         self.directory = Directory(
             decode=adapter.decode_record, keep_departed_s=settings.flow_life_s
@@ -86,7 +75,6 @@
             host=settings.packet_address.host,
             port=settings.packet_address.port,
             receive=self._receive,
-            bound=packet_socket,
         )
         self.reader = StoreReader(
             directory=self.directory,
@@ -218,15 +206,9 @@
             await asyncio.sleep(RESTART_S)
 
 
-async def run_front(
-    *,
-    settings_path: Path,
-    adapter: Adapter,
-    settings: FrontSettings,
-    packet_socket: socket.socket | None = None,
-) -> None:
-    """Run a VM until it is asked to stop; see ``Front`` for `packet_socket`."""
-    front = Front(settings=settings, adapter=adapter, rng=Random(), packet_socket=packet_socket)
+async def run_front(*, settings_path: Path, adapter: Adapter, settings: FrontSettings) -> None:
+    """Run a VM until it is asked to stop."""
+    front = Front(settings=settings, adapter=adapter, rng=Random())
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/mulberryswitch/platform/__init__.py
+++ b/mulberryswitch/platform/__init__.py
@@ -1,6 +1,10 @@
 """Adapter to the users' platform: the only place that knows the names of its wire."""
 
-from mulberryswitch._lazy import build_lazy_getter
+from ._adapter import ADAPTER, SETTINGS_VARIABLE
+from ._packets import decode_packet, encode_forward, encode_reset
+from ._records import decode_record
+from ._settings import parse_settings
+from ._store import StoreClient
 
 __all__ = [
     "ADAPTER",
@@ -12,18 +16,3 @@
     "encode_reset",
     "parse_settings",
 ]
-
-# The program binds its socket before it imports the rest; see ``__main__``.
-__getattr__ = build_lazy_getter(
-    __name__,
-    {
-        "ADAPTER": "_adapter",
-        "SETTINGS_VARIABLE": "_early",
-        "StoreClient": "_store",
-        "decode_packet": "_packets",
-        "decode_record": "_records",
-        "encode_forward": "_packets",
-        "encode_reset": "_packets",
-        "parse_settings": "_settings",
-    },
-)
--- a/mulberryswitch/platform/_adapter.py
+++ b/mulberryswitch/platform/_adapter.py
@@ -7,7 +7,9 @@
 from ._settings import parse_settings
 from ._store import StoreClient
 
-__all__ = ["ADAPTER"]
+__all__ = ["ADAPTER", "SETTINGS_VARIABLE"]
+
+SETTINGS_VARIABLE = "MULBERRYSWITCH_CONFIG"
 
 ADAPTER = Adapter(
     parse_settings=parse_settings,
--- a/mulberryswitch/platform/_settings.py
+++ b/mulberryswitch/platform/_settings.py
@@ -2,8 +2,6 @@
 
 from mulberryswitch.front import Address, FrontSettings, FrontSettingsError
 
-from ._early import PACKET_FIELD
-
 __all__ = ["parse_settings"]
 
 
@@ -24,7 +22,7 @@
     return FrontSettings(
         vm=_get(fields, "nodeName"),
         zone=_get(fields, "zone"),
-        packet_address=_parse_address(PACKET_FIELD, _get(fields, PACKET_FIELD)),
+        packet_address=_parse_address("listen.datagramAddr", _get(fields, "listen.datagramAddr")),
         ready_address=_parse_address("listen.ready", _get(fields, "listen.ready")),
         peer_address=Address(ip, peer_port),
         metrics_address=Address(ip, peer_port + 1),
--- a/mulberryswitch/platform/tests/test_settings.py
+++ b/mulberryswitch/platform/tests/test_settings.py
@@ -1,7 +1,6 @@
 """Tests of the settings file of the users' platform."""
 
 import contextlib
-import socket
 import unittest
 
 from hypothesis import given
@@ -9,7 +8,6 @@
 
 from mulberryswitch.front import Address, FrontSettingsError
 from mulberryswitch.platform import parse_settings
-from mulberryswitch.platform._early import open_packet_socket
 
 TEXT = """nodeName=front-1
 role=front
@@ -53,23 +51,6 @@
             with self.subTest(new), self.assertRaises(FrontSettingsError):
                 parse_settings(TEXT.replace(old, new))
 
-    def test_the_packet_socket_is_bound_before_the_rest_is_loaded(self):
-        """Packets that come while the libraries load wait in its buffer."""
-        with socket.socket(type=socket.SOCK_DGRAM) as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
-        text = TEXT.replace("10.1.0.10:8172", f"127.0.0.1:{port}")
-        with open_packet_socket(text) as bound, socket.socket(type=socket.SOCK_DGRAM) as caller:
-            caller.sendto(b"early", bound.getsockname())
-            bound.settimeout(2.0)
-            self.assertEqual(bound.recv(100), b"early")
-
-    def test_a_bad_packet_address_is_left_to_the_full_check(self):
-        for value in ("nowhere", "10.1.0.10:", "10.1.0.10:99999999999", "", "192.0.2.1:8172"):
-            with self.subTest(value):
-                self.assertIsNone(open_packet_socket(f"listen.datagramAddr={value}"))
-        self.assertIsNone(open_packet_socket(""))
-
     @given(st.text(max_size=300))
     def test_any_text(self, text):
         with contextlib.suppress(FrontSettingsError):
--- a/mulberryswitch/transport/_datagrams.py
+++ b/mulberryswitch/transport/_datagrams.py
@@ -5,12 +5,11 @@
 import socket
 from collections.abc import Callable
 
-from mulberryswitch._sockets import open_datagram_socket
-
 __all__ = ["DatagramSocket"]
 
 # One wake-up per datagram halves the packet rate; an unbounded loop would starve other tasks.
 MAX_READS_PER_WAKEUP = 64
+BUFFER_BYTES = 4 * 1024 * 1024
 MAX_DATAGRAM_BYTES = 65_535
 
 log = logging.getLogger("transport")
@@ -25,29 +24,24 @@
     port : int
     receive : callable
         Takes the data of a datagram and the address of its sender.
-    bound : socket, optional
-        A socket that is bound already and may hold datagrams.
     """
 
-    def __init__(
-        self,
-        *,
-        host: str,
-        port: int,
-        receive: Callable[[bytes, tuple[str, int]], None],
-        bound: socket.socket | None = None,
-    ):
+    def __init__(self, *, host: str, port: int, receive: Callable[[bytes, tuple[str, int]], None]):
         self.host = host
         self.port = port
         self.receive = receive
         self.unsent = 0
-        self._socket = bound
+        self._socket: socket.socket | None = None
 
     def start(self) -> None:
         """Bind the socket and read it from the running event loop."""
-        if self._socket is None:
-            self._socket = open_datagram_socket(self.host, self.port)
-        asyncio.get_running_loop().add_reader(self._socket.fileno(), self.read)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+        sock.bind((self.host, self.port))
+        self._socket = sock
+        asyncio.get_running_loop().add_reader(sock.fileno(), self.read)
 
     @property
     def address(self) -> tuple[str, int]:
