--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-NAMES = ("routing", "requests", "membership", "platform_timers", "configuration")
+NAMES = ("forwarding", "routing", "requests", "membership", "platform_timers", "configuration")
 
 
 def main() -> None:
--- /dev/null
+++ b/mulberryswitch/cli/_front.py
@@ -0,0 +1,173 @@
+"""Commands for VMs of the direct path."""
+
+import json
+import sys
+import urllib.parse
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ._asking import EXIT_REFUSED, ask_all, finish, output_option
+
+__all__ = ["front"]
+
+
+@click.group()
+def front() -> None:
+    """Commands for VMs of the direct path (python -m mulberryswitch.platform)."""
+
+
+@front.command()
+@click.argument("path", type=click.Path(path_type=Path))
+@output_option
+def check(path: Path, output: str) -> None:
+    """Check a settings file of the platform.
+
+    \b
+    Example: mulberryswitch front check /etc/mulberryswitch/node.conf
+    """
+    from mulberryswitch.platform import parse_settings
+
+    try:
+        settings = parse_settings(path.read_text())
+    except (OSError, ValueError) as exc:
+        problem = {"ok": False, "problem": str(exc)}
+        click.echo(json.dumps(problem) if output == "json" else f"{path}: {exc}")
+        sys.exit(EXIT_REFUSED)
+    summary = {"ok": True, "vm": settings.vm, "zone": settings.zone}
+    text = f"{path}: settings of VM {settings.vm} are valid"
+    click.echo(json.dumps(summary) if output == "json" else text)
+
+
+@front.command()
+@click.argument("addresses", nargs=-1, required=True, metavar="IP:PORT...")
+@output_option
+def status(addresses: tuple[str, ...], output: str) -> None:
+    """Show what is in force at one or more VMs; IP:PORT is the metrics or readiness address.
+
+    \b
+    Example: mulberryswitch front status 10.1.0.10:7721 10.2.0.40:7721
+    """
+    answers, reached = ask_all(addresses, "/status")
+    if output == "json":
+        click.echo(json.dumps(answers))
+    else:
+        for address, answer in answers.items():
+            click.echo(_describe_status(address, answer))
+    finish(reached)
+
+
+def _describe_status(address: str, answer: dict[str, Any]) -> str:
+    if "error" in answer:
+        return f"{address}: no answer: {answer['error']}"
+    state = "stopping" if answer["stopping"] else "ready" if answer["ready"] else "not ready"
+    return (
+        f"{answer['vm']} ({answer['zone']}): {state}, version {answer['version']} at revision "
+        f"{answer['revision']}, confirmed {answer['confirmed_age_s']:.1f} s ago; "
+        f"{answer['routes']} routes, {answer['targets']} targets, {answer['flows']} flows, "
+        f"{answer['members']} VMs"
+    )
+
+
+@front.command()
+@click.argument("caller", metavar="CALLER_IP:PORT")
+@click.argument("route", metavar="ROUTE_IP:PORT")
+@click.option("--vm", "addresses", multiple=True, required=True, metavar="IP:PORT")
+@output_option
+def explain(caller: str, route: str, addresses: tuple[str, ...], output: str) -> None:
+    """Show route, target and state of a flow, and how VMs rate the targets of its service.
+
+    \b
+    Example: mulberryswitch front explain 100.64.0.7:40001 198.18.0.1:443 --vm 10.1.0.10:7721
+    """
+    query = urllib.parse.urlencode({"caller": caller, "route": route})
+    answers, reached = ask_all(addresses, f"/explain?{query}")
+    if output == "json":
+        click.echo(json.dumps(answers))
+    else:
+        for address, answer in answers.items():
+            click.echo(_describe_flow(address, answer))
+    finish(reached)
+
+
+def _describe_flow(address: str, answer: dict[str, Any]) -> str:
+    if "error" in answer:
+        return f"{address}: no answer: {answer['error']}"
+    age = f"{answer['confirmed_age_s']:.1f} s"
+    in_force = f"{answer['vm']}: version {answer['version']}, confirmed {age} ago"
+    if answer["route"] is None:
+        return f"{in_force}; no such route"
+    lines = [
+        f"{in_force}; route {answer['route']} to {answer['service']}, {_describe_state(answer)}"
+    ]
+    for target in answer["targets"]:
+        answered = target["answered_ago_s"]
+        lines.append(
+            f"  {target['key']} ({target['zone']}): {target['busy']} busy, "
+            f"{target['long_flows']} long flows here, "
+            f"{'no answer seen' if answered is None else f'answered {answered} s ago'}"
+            f"{', ejected' if target['is_ejected'] else ''}"
+        )
+    return "\n".join(lines)
+
+
+def _describe_state(answer: dict[str, Any]) -> str:
+    if answer["token"] is None:
+        return "this VM has seen no packet of the flow"
+    state = "opening" if answer["is_opening"] else "busy" if answer["is_busy"] else "idle"
+    tried = f", tried {', '.join(answer['tried'])}" if answer["tried"] else ""
+    return f"{state} at {answer['target'] or 'a target that is gone'}{tried}"
+
+
+@front.command()
+@click.argument("caller", metavar="CALLER_IP:PORT")
+@click.argument("route", metavar="ROUTE_IP:PORT")
+@click.argument("paths", nargs=-1, required=True, type=click.Path(path_type=Path))
+def story(caller: str, route: str, paths: tuple[Path, ...]) -> None:
+    """Tell what the logs of several VMs say of a flow, in the order of time.
+
+    Lines about the targets that the flow was sent to are included.
+
+    \b
+    Example: mulberryswitch front story 100.64.0.7:40001 198.18.0.1:443 logs/*.json
+    """
+    lines = [line for path in paths for line in _read_lines(path)]
+    flow = f"{caller}>{route}"
+    targets = {line["target"] for line in lines if line.get("flow") == flow and "target" in line}
+    about = [
+        line
+        for line in lines
+        if line.get("flow") == flow or ("flow" not in line and line.get("target") in targets)
+    ]
+    for line in sorted(about, key=lambda line: line.get("time", "")):
+        click.echo(_describe_line(line))
+    if not about:
+        click.echo(f"no line about {flow}")
+        sys.exit(EXIT_REFUSED)
+
+
+def _read_lines(path: Path) -> Iterator[dict[str, Any]]:
+    """Yield the JSON lines of a log, which a collector may have given a prefix."""
+    try:
+        texts = path.read_text(errors="replace").splitlines()
+    except OSError as exc:
+        raise click.ClickException(str(exc)) from exc
+    yield from _parse_lines(texts)
+
+
+def _parse_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for text in texts:
+        try:
+            line = json.loads(text[text.index("{") :])
+        except ValueError:
+            continue  # another program's line
+        if isinstance(line, dict) and "message" in line:
+            yield line
+
+
+def _describe_line(line: dict[str, Any]) -> str:
+    shown = ("time", "level", "part", "message", "vm", "flow")
+    rest = " ".join(f"{name}={value}" for name, value in line.items() if name not in shown)
+    return f"{line.get('time', '')} {line.get('vm', '')} {line['message']} {rest}"
--- a/mulberryswitch/cli/_main.py
+++ b/mulberryswitch/cli/_main.py
@@ -3,9 +3,7 @@
 import json
 import sys
 import time
-import urllib.error
 import urllib.parse
-import urllib.request
 from pathlib import Path
 from typing import Any
 
@@ -17,19 +15,12 @@
 from mulberryswitch.daemon import run_node
 from mulberryswitch.observability import configure_logs
 
+from ._asking import EXIT_REFUSED, ask_all, finish, output_option
+from ._front import front
+
 __all__ = ["main"]
 
-EXIT_REFUSED = 1
-EXIT_UNREACHABLE = 3
-ASK_TIMEOUT_S = 3.0
 
-output_option = click.option(
-    "--output",
-    type=click.Choice(["text", "json"]),
-    default="text",
-    show_default=True,
-    help="Form of the answer.",
-)
 operator_option = click.option(
     "--operator",
     "operators",
@@ -49,28 +40,6 @@
         sys.exit(EXIT_REFUSED)
 
 
-def _ask(operator: str, path: str) -> Any:
-    with urllib.request.urlopen(f"http://{operator}{path}", timeout=ASK_TIMEOUT_S) as response:
-        return json.load(response)
-
-
-def _ask_all(operators: tuple[str, ...], path: str) -> tuple[dict[str, Any], bool]:
-    """Return the answer of each operator port, and whether all answered."""
-    answers: dict[str, Any] = {}
-    reached = True
-    for operator in operators:
-        try:
-            answers[operator] = _ask(operator, path)
-        except (OSError, urllib.error.URLError, ValueError) as exc:
-            answers[operator] = {"error": str(exc)}
-            reached = False
-    return answers, reached
-
-
-def _finish(reached: bool) -> None:
-    sys.exit(0 if reached else EXIT_UNREACHABLE)
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__)
 def main() -> None:
@@ -165,13 +134,13 @@
     \b
     Example: mulberryswitch status --operator 10.0.0.5:7100 --operator 10.0.0.6:7100
     """
-    answers, reached = _ask_all(operators, "/v1/status")
+    answers, reached = ask_all(operators, "/v1/status")
     if output == "json":
         click.echo(json.dumps(answers))
-        _finish(reached)
+        finish(reached)
     for operator, answer in answers.items():
         click.echo(_describe_status(operator, answer))
-    _finish(reached)
+    finish(reached)
 
 
 def _describe_status(operator: str, answer: dict[str, Any]) -> str:
@@ -205,13 +174,13 @@
     Example: mulberryswitch explain 00ff12ab --address 10.1.0.1:443 --operator 10.0.0.5:7100
     """
     query = urllib.parse.urlencode({"flow": flow, "address": address})
-    answers, reached = _ask_all(operators, f"/v1/explain?{query}")
+    answers, reached = ask_all(operators, f"/v1/explain?{query}")
     if output == "json":
         click.echo(json.dumps(answers))
     else:
         for operator, answer in answers.items():
             click.echo(f"{operator}: {_describe_explanation(answer)}")
-    _finish(reached)
+    finish(reached)
 
 
 def _describe_explanation(answer: dict[str, Any]) -> str:
@@ -236,10 +205,10 @@
     \b
     Example: mulberryswitch drain --operator 10.0.0.5:7100
     """
-    answers, reached = _ask_all(operators, "/v1/holds")
+    answers, reached = ask_all(operators, "/v1/holds")
     if output == "json":
         click.echo(json.dumps(answers))
-        _finish(reached)
+        finish(reached)
     for operator, answer in answers.items():
         if "error" in answer:
             click.echo(f"{operator}: no answer: {answer['error']}")
@@ -253,4 +222,7 @@
                 f"  request {held['flow']}/{held['request_id']} of {held['service']}: "
                 f"{held['state']} {held['target']}"
             )
-    _finish(reached)
+    finish(reached)
+
+
+main.add_command(front)
--- a/mulberryswitch/forwarding/__init__.py
+++ b/mulberryswitch/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Decisions on callers' packets: placement of new flows, tokens of open ones, silent targets."""
 
+from ._explanation import FlowExplanation, TargetView, explain_flow, parse_flow
 from ._flows import Flow, FlowTable
 from ._forwarder import Forwarder
 from ._loads import TargetHealth, TargetLoad, TargetLoads, subtract_entries
@@ -10,6 +11,7 @@
     "Action",
     "Candidate",
     "Flow",
+    "FlowExplanation",
     "FlowKey",
     "FlowTable",
     "Forward",
@@ -19,7 +21,10 @@
     "TargetHealth",
     "TargetLoad",
     "TargetLoads",
+    "TargetView",
+    "explain_flow",
     "format_flow",
+    "parse_flow",
     "pick_service",
     "pick_target",
     "subtract_entries",
--- /dev/null
+++ b/mulberryswitch/transport/tests/test_http.py
@@ -0,0 +1,107 @@
+"""Tests of the HTTP client and server."""
+
+import asyncio
+import contextlib
+import unittest
+
+from mulberryswitch.transport import HttpClient, HttpError, HttpResponse, HttpServer
+
+TIMEOUT_S = 0.3
+
+
+async def serve_bytes(*answers: bytes, closes: bool = True):
+    """Return a server that sends `answers` after each other, one per request."""
+    waiting = list(answers)
+
+    async def serve(reader, writer):
+        while waiting and await reader.read(1000):
+            writer.write(waiting.pop(0))
+            await writer.drain()
+        if closes:
+            writer.close()
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+def get_port(server: asyncio.Server) -> int:
+    return server.sockets[0].getsockname()[1]
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    """Guards reads of the store against answers that are late, cut or no HTTP."""
+
+    async def get(self, *answers: bytes, **options) -> HttpResponse:
+        server = await serve_bytes(*answers, **options)
+        self.addCleanup(server.close)
+        self.client = HttpClient(host="127.0.0.1", port=get_port(server))
+        self.addCleanup(self.client.close)
+        return await self.client.get(path="/x", timeout_s=TIMEOUT_S)
+
+    async def test_answers_follow_each_other_on_one_connection(self):
+        ok = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+        first = await self.get(ok + b"ab", ok + b"cd")
+        second = await self.client.get(path="/x", timeout_s=TIMEOUT_S)
+        self.assertEqual((first.body, second.body), (b"ab", b"cd"))
+
+    async def test_bad_answers(self):
+        for answer in (
+            b"",
+            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+            b"HTTP/1.1 200 OK\r\nX: " + b"x" * 100_000,
+        ):
+            with self.subTest(answer[:30]), self.assertRaises(HttpError):
+                await self.get(answer)
+
+    async def test_silence_ends_the_connection(self):
+        """A late answer must not pass for that of the next call."""
+        with self.assertRaises(HttpError):
+            await self.get(b"", closes=False)
+        self.assertIsNone(self.client._streams)
+
+    async def test_nobody_listens(self):
+        with self.assertRaises(HttpError):
+            await HttpClient(host="127.0.0.1", port=1).get(path="/", timeout_s=TIMEOUT_S)
+
+    async def test_closing_during_a_call(self):
+        server = await serve_bytes(b"", closes=False)
+        self.addCleanup(server.close)
+        client = HttpClient(host="127.0.0.1", port=get_port(server))
+        call = asyncio.create_task(client.get(path="/", timeout_s=2.0))
+        await asyncio.sleep(0.05)
+        client.close()
+        with self.assertRaises(HttpError):
+            await call
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the readiness page against strangers."""
+
+    async def asyncSetUp(self):
+        self.server = HttpServer(
+            host="127.0.0.1",
+            port=0,
+            answer=lambda target: HttpResponse(status=200, body=target.encode()),
+        )
+        await self.server.start()
+
+    async def asyncTearDown(self):
+        self.server.stop()
+
+    async def test_bad_requests_leave_the_server_up(self):
+        host, port = self.server.address[:2]
+        for data in (b"\0\1\2\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n", b"G", b"x" * 200_000):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(data)
+            writer.write_eof()
+            with contextlib.suppress(ConnectionError):
+                await asyncio.wait_for(reader.read(), 2.0)
+            writer.close()
+        client = HttpClient(host=host, port=port)
+        answer = await client.get(path="/a?b=1", timeout_s=2.0)
+        client.close()
+        self.assertEqual(answer.body, b"/a?b=1")
+
+
+if __name__ == "__main__":
+    unittest.main()
