--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -1,6 +1,5 @@
 """Dispatcher of one service: slots, queue and request records."""
 
-import heapq
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -17,12 +16,14 @@
 from mulberryswitch.zones import SpillPolicy
 
 from ._actions import Action, CancelAtTarget, SendToTarget
+from ._admission import Admission
 from ._binding import Binder
 from ._budget import RetryBudget
 from ._classes import WorkClassifier
+from ._link_wait import LinkWait
 from ._long_share import LongShare
 from ._outcomes import Outcomes
-from ._proof import check_deadline_proof, has_receipt, is_first_or_has_receipt
+from ._proof import has_receipt, is_first_or_has_receipt
 from ._queue import RequestQueue
 from ._receipts import ReceiptSigner
 from ._records import (
@@ -32,6 +33,7 @@
     Waiter,
 )
 from ._slots import SlotTable, TargetSlots
+from ._timers import DeadlineTimers
 from ._waits import WaitEstimate
 
 __all__ = ["Dispatcher", "HeldRequest"]
@@ -39,9 +41,6 @@
 MAX_QUEUED = 4096
 MAX_WAITERS = 4
 MAX_SHEDS = 20
-MIN_TIMERS = 8192
-# A queue without a reachable target waits this long for a link before it refuses.
-LINK_WAIT_S = 1.0
 # An unanswered run blames the target only when it had this many mean runs of its class.
 BLAME_MEANS = 4.0
 
@@ -103,7 +102,6 @@
         self.zone = zone
         self.service = service
         self.signer = signer
-        self.max_queued = max_queued
         self.records = records if records is not None else RequestRecords()
         self.budget = budget if budget is not None else RetryBudget()
         self.classifier = WorkClassifier()
@@ -113,14 +111,23 @@
         self._long_share = LongShare(classifier=self.classifier)
         self._waits = {False: WaitEstimate(), True: WaitEstimate()}
         self._running: dict[int, Record] = {}
-        self._timers: list[tuple[float, int, Record]] = []
+        self._timers = DeadlineTimers()
         self._next_dispatch_id = first_dispatch_id
         self._next_sequence = 1
-        self._no_target_since_s: float | None = None
         self._outcomes = Outcomes(signer=signer, records=self.records, counters=self.counters)
         self._binder = Binder(
             queue=self._queue, slots=self.slots, long_share=self._long_share, start=self._start
         )
+        self._admission = Admission(
+            queue=self._queue,
+            slots=self.slots,
+            records=self.records,
+            binder=self._binder,
+            classifier=self.classifier,
+            waits=self._waits,
+            max_queued=max_queued,
+        )
+        self._link_wait = LinkWait(queue=self._queue, slots=self.slots)
 
     # Events
 
@@ -216,7 +223,7 @@
         record.sheds += 1
         if record.sheds >= MAX_SHEDS:
             self._conclude(record, ResultCode.TARGETS_SHED, now_s)
-        elif self._is_past(record, now_s):
+        elif record.is_past(now_s):
             self._conclude(record, ResultCode.DEADLINE_PASSED, now_s)
         else:
             self._apply_queued(record, front=True)
@@ -224,9 +231,8 @@
 
     def decide_tick(self, now_s: float) -> list[Action]:
         """Apply what time alone changes; call it about every 20 ms."""
-        while self._timers and self._timers[0][0] <= now_s:
-            _, _, record = heapq.heappop(self._timers)
-            if record.is_open and self._is_past(record, now_s):
+        for record in self._timers.take_due(now_s):
+            if record.is_open and record.is_past(now_s):
                 self._apply_deadline(record, now_s)
         self.slots.observe_tick(now_s)
         for record in self._running.values():
@@ -311,7 +317,8 @@
         """Refuse a request that its cancellation has overtaken."""
         proven = is_first_or_has_receipt(self.signer, waiter.forward)
         code = ResultCode.CANCELLED if proven else ResultCode.NO_PROOF
-        code = self._check_proof(waiter.forward, proven, now_s) or code
+        unproven = self._admission.check_proof(forward=waiter.forward, proven=proven, now_s=now_s)
+        code = unproven or code
         packet = waiter.forward.packet
         record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
         if code == ResultCode.CANCELLED and waiter.attempt == record.attempt:
@@ -353,20 +360,13 @@
         self.counters["requests"] += 1
         self.budget.observe_request()
         self._observe_load(record, now_s)
-        code = self._check_proof(forward, proven, now_s) or self._check_room(record, now_s)
+        code = self._admission.check(record=record, proven=proven, now_s=now_s)
         if code:
             self._conclude(record, code, now_s, queued=False)
             return
         self._apply_queued(record)
         if packet.deadline_ms:
-            self._apply_timer(record)
-
-    def _apply_timer(self, record: Record) -> None:
-        heapq.heappush(self._timers, (record.deadline_ms / 1000.0, record.sequence, record))
-        if len(self._timers) > MIN_TIMERS + 4 * (len(self._queue) + len(self._running)):
-            # Timers of ended requests stay until their deadline, which may be far ahead.
-            self._timers = [timer for timer in self._timers if timer[2].is_open]
-            heapq.heapify(self._timers)
+            self._timers.apply_added(record, open_records=len(self._queue) + len(self._running))
 
     def _observe_load(self, record: Record, now_s: float) -> None:
         self._long_share.observe_request(record.is_long, now_s)
@@ -374,44 +374,6 @@
         if state is not None and not record.is_long:
             state.pinned_short_s = now_s
 
-    def _check_proof(self, forward: Forward, proven: bool, now_s: float) -> int:
-        """Return a code unless the attempt may run as far as earlier copies are concerned."""
-        packet = forward.packet
-        if not packet.idempotent and not proven:
-            return ResultCode.NO_PROOF
-        if self.records.is_fenced((packet.flow, packet.request_id), packet.deadline_ms):
-            return ResultCode.NO_PROOF
-        return check_deadline_proof(forward, now_s)
-
-    def _check_room(self, record: Record, now_s: float) -> int:
-        pinned = record.forward.pinned
-        if pinned and self.slots.get(pinned) is None:
-            return ResultCode.TARGET_LOST_BEFORE_SEND
-        if not pinned and not any(state.takes_new_work for state in self.slots):
-            return ResultCode.NO_ACTIVE_TARGET
-        if len(self._queue) >= self.max_queued:
-            return ResultCode.QUEUE_FULL
-        if not pinned and self._is_too_late(record, now_s):
-            return ResultCode.DEADLINE_TOO_CLOSE
-        return 0
-
-    def _is_too_late(self, record: Record, now_s: float) -> bool:
-        ahead = self._queue.count[record.is_long]
-        if not ahead:
-            return False
-        usable = self.slots.usable_slots(now_s)
-        if record.is_long:
-            slots = self._binder.long_limits(now_s)[1]
-        else:
-            slots = usable - self.slots.long_in_flight
-        return self._waits[record.is_long].is_too_late(
-            ahead=ahead,
-            slots=slots,
-            mean_s=self.classifier.mean_s[record.is_long],
-            now_s=now_s,
-            deadline_ms=record.deadline_ms,
-        )
-
     def _attach(self, record: Record, waiter: Waiter, now_s: float) -> None:
         attempt = waiter.attempt
         if attempt < record.attempt or len(record.waiters) >= MAX_WAITERS:
@@ -447,7 +409,7 @@
         return self._outcomes.take()
 
     def _start(self, record: Record, state: TargetSlots, now_s: float) -> None:
-        if self._is_past(record, now_s):
+        if record.is_past(now_s):
             self._apply_deadline(record, now_s)
             return
         self._queue.apply_removed(record)
@@ -499,7 +461,7 @@
             return
         record.may_have_run = True
         again = not record.sent_pieces and not record.forward.pinned
-        if again and not self._is_past(record, now_s) and self.budget.apply_retry():
+        if again and not record.is_past(now_s) and self.budget.apply_retry():
             self.counters["repeated_runs"] += 1
             self._apply_queued(record, front=True)
             return
@@ -517,10 +479,6 @@
 
     # Time
 
-    @staticmethod
-    def _is_past(record: Record, now_s: float) -> bool:
-        return 0 < record.deadline_ms <= now_s * 1000.0
-
     def _apply_deadline(self, record: Record, now_s: float) -> None:
         if record.state is RecordState.QUEUED:
             self._conclude(record, ResultCode.DEADLINE_PASSED, now_s)
@@ -532,31 +490,9 @@
         self._conclude(record, ResultCode.NO_ANSWER, now_s)
 
     def _apply_link_wait(self, now_s: float) -> None:
-        """Refuse queued requests that have had no reachable target for ``LINK_WAIT_S``."""
-        reachable = any(state.is_up and state.takes_new_work for state in self.slots)
-        if reachable or not len(self._queue):
-            self._no_target_since_s = None
-        elif self._no_target_since_s is None:
-            self._no_target_since_s = now_s
-        since_s = self._no_target_since_s
-        expired = since_s is not None and now_s - since_s >= LINK_WAIT_S
-        if not expired and not self._has_unreachable_pinned():
-            return
-        active = any(state.takes_new_work for state in self.slots)
-        code = ResultCode.NO_PATH if active else ResultCode.NO_ACTIVE_TARGET
-        for record in list(self._queue):
-            if record.forward.pinned:
-                state = self.slots.get(record.forward.pinned)
-                waited = now_s - record.queued_s >= LINK_WAIT_S
-                if waited and (state is None or not state.is_up):
-                    self._conclude(record, ResultCode.TARGET_LOST_BEFORE_SEND, now_s)
-            elif expired:
-                self._conclude(record, code, now_s)
-
-    def _has_unreachable_pinned(self) -> bool:
-        names = self._queue.pinned_targets(False) + self._queue.pinned_targets(True)
-        states = [self.slots.get(name) for name in names]
-        return any(state is None or not state.is_up for state in states)
+        """Refuse queued requests that have had no reachable target for too long."""
+        for record, code in self._link_wait.list_refused(now_s):
+            self._conclude(record, code, now_s)
 
     # Outcomes
 
--- a/mulberryswitch/requests/_records.py
+++ b/mulberryswitch/requests/_records.py
@@ -101,6 +101,10 @@
         """Deadline of the attempt that is queued or running."""
         return self.forward.packet.deadline_ms
 
+    def is_past(self, now_s: float) -> bool:
+        """Return whether the deadline has passed."""
+        return 0 < self.deadline_ms <= now_s * 1000.0
+
 
 class RequestRecords:
     """Bounded table of records.
