Only the first target of an opening is suspected before its caller repeats it

Cause: a caller that a crashed target refused has given its flow up, but its VM went on to send the opening to three more targets, 30 ms apart. Ruled out: the targets, which served others meanwhile. Now a second target is tried once; more need a copy from the caller, which proves that it waits.

--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -44,8 +44,9 @@
     opening : Packet or None
         The packet that opens it, until the target has answered.
     tried : tuple of str
-        Keys of the targets that the opening was sent to, the last one first, then those that
-        refused earlier openings of its caller.
+        Keys of the targets that the opening was sent to, the last one first.
+    refused : tuple of str
+        Keys of the targets that refused earlier openings of its caller.
     sent_s : float
         When the opening, or the newest payload, was first sent to the target.
     position : int
@@ -65,6 +66,7 @@
     sent_s: float
     opening: Packet | None = None
     tried: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
     position: int = 0
     acknowledged: int = 0
     busy: bool = False
@@ -106,10 +108,11 @@
         packet: Packet,
         token: int,
         tried: tuple[str, ...],
+        refused: tuple[str, ...],
         is_long: bool,
         now_s: float,
     ) -> None:
-        """A flow was placed, or placed again on another target; see ``Flow`` for `tried`."""
+        """A flow was placed, or placed again; see ``Flow`` for `tried` and `refused`."""
         former = self.flows.get(packet.flow)
         opened_s = former.opened_s if former else now_s
         self.remove(packet.flow)
@@ -123,6 +126,7 @@
             sent_s=now_s,
             opening=packet,
             tried=tried,
+            refused=refused,
         )
         self.flows[packet.flow] = self.openings[packet.flow] = flow
         load = self.loads.find(token)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -1,6 +1,5 @@
 """Decision on each packet of a caller: send it to a target, reset its flow, hold or drop it."""
 
-import itertools
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -129,40 +128,40 @@
         if route is None:
             return self._reset(packet, "no route")
         flow = self.flows.find(packet.flow)
-        if flow is not None and flow.opening is not None:
-            if now_s - flow.sent_s < OPENING_TIMEOUT_S or len(flow.tried) >= MAX_PLACEMENTS:
-                return self._repeat(packet, flow)
-            return self._place_again(packet, route, flow, now_s)
-        if flow is not None and not flow.is_closed:
+        if flow is None or flow.is_closed:
+            return self._place(packet, route, now_s, refused=self._find_refusals(packet, now_s))
+        if flow.opening is None or now_s - flow.sent_s < OPENING_TIMEOUT_S:
             return self._repeat(packet, flow)
-        return self._place(packet, route, self._find_refusals(packet, now_s), now_s)
+        # The caller still waits, so the target that was tried last does not answer either.
+        self._observe_silence(flow, now_s)
+        if len(flow.tried) >= MAX_PLACEMENTS:
+            return self._repeat(packet, flow)
+        return self._place(packet, route, now_s, tried=flow.tried, refused=flow.refused)
 
     def _find_refusals(self, packet: Packet, now_s: float) -> tuple[str, ...]:
         """Return the targets that refused earlier openings of this caller to the same route.
 
         A process that does not listen resets the caller's opening, which no VM sees; the caller
-        then tries again from another port.
+        then tries again from another port. Only the first target of an opening can be meant: the
+        next one answers a caller that has given the flow up.
         """
         refused = [
             (key, flow)
             for key, flow in self.flows.openings.items()
             if key[0] == packet.flow[0]
             and key[2:] == packet.flow[2:]
-            and now_s - flow.sent_s >= REFUSED_S
+            and now_s - flow.opened_s >= REFUSED_S
         ]
         for key, flow in refused:
-            self._observe_silence(flow, now_s)
+            if len(flow.tried) == 1:
+                self._observe_silence(flow, now_s)
             self.flows.remove(key)
-        return tuple(itertools.chain.from_iterable(flow.tried for _, flow in refused))
+        return tuple(flow.tried[-1] for _, flow in refused)
 
     def _repeat(self, packet: Packet, flow: Flow) -> list[Action]:
         target = self.directory.find_target(flow.token)
         return [Forward(packet=packet, target=target, token=flow.token)] if target else []
 
-    def _place_again(self, packet: Packet, route: Route, flow: Flow, now_s: float) -> list[Action]:
-        self._observe_silence(flow, now_s)
-        return self._place(packet, route, flow.tried, now_s)
-
     def _observe_silence(self, flow: Flow, now_s: float) -> None:
         """An opening found no answer."""
         self.count("openings_unanswered", 1)
@@ -180,7 +179,7 @@
 
     def _observe_opened(self, packet: Packet, flow: Flow, now_s: float) -> None:
         """A flow opened: the targets that were tried before do not answer, and others may know."""
-        for key in flow.tried:
+        for key in (*flow.tried, *flow.refused):
             target = self.directory.targets.get(key)
             if target is None or (token := build_token(target.identity)) == packet.token:
                 continue
@@ -189,13 +188,21 @@
                 self.report_silence(token, health)
 
     def _place(
-        self, packet: Packet, route: Route, tried: tuple[str, ...], now_s: float
+        self,
+        packet: Packet,
+        route: Route,
+        now_s: float,
+        *,
+        tried: tuple[str, ...] = (),
+        refused: tuple[str, ...] = (),
     ) -> list[Action]:
+        """Send an opening to a target; see ``Flow`` for `tried` and `refused`."""
+        avoided = (*tried, *refused)
         service = pick_service(route=route, flow=packet.flow)
         serving = self.directory.list_serving(service, now_s)
         candidates = [self._rate(target, now_s) for target in serving]
-        target = self._pick_doubted(serving, tried, now_s) or pick_target(
-            candidates=candidates, zone=self.zone, tried=tried, rng=self.rng
+        target = self._pick_doubted(serving, avoided, now_s) or pick_target(
+            candidates=candidates, zone=self.zone, tried=avoided, rng=self.rng
         )
         if target is None:
             return self._reset(packet, "no target")
@@ -204,11 +211,12 @@
             packet=packet,
             token=token,
             tried=(target.key, *tried),
+            refused=refused,
             is_long=route.kind is TrafficKind.IDEMPOTENT,
             now_s=now_s,
         )
         self.count("flows_placed", 1)
-        self._log_placement(packet, target, candidates, tried, now_s)
+        self._log_placement(packet, target, candidates, avoided, now_s)
         return [Forward(packet=packet, target=target, token=token)]
 
     def _log_placement(
@@ -216,7 +224,7 @@
         packet: Packet,
         target: Target,
         candidates: list[Candidate],
-        tried: tuple[str, ...],
+        avoided: tuple[str, ...],
         now_s: float,
     ) -> None:
         chosen = next(c for c in candidates if c.target is target)
@@ -231,7 +239,7 @@
                 "target_zone": target.zone,
                 "ejected": sum(c.is_ejected for c in candidates),
                 "candidates": len(candidates),
-                "tried": tried,
+                "tried": avoided,
                 "version": self.directory.version,
                 "revision": self.directory.revision,
                 "changed_ago_s": round(now_s - self.directory.changed_s, 2),
@@ -244,10 +252,10 @@
             self.report_answer(target.service, answer_s)
 
     def _pick_doubted(
-        self, serving: list[Target], tried: tuple[str, ...], now_s: float
+        self, serving: list[Target], avoided: tuple[str, ...], now_s: float
     ) -> Target | None:
         """Return a target that open flows make doubtful; one new flow tells whether it lives."""
-        if tried:
+        if avoided:
             return None
         for target in serving:
             health = self.loads.find(build_token(target.identity)).health
@@ -334,7 +342,7 @@
         ]
 
     def decide_tick(self, *, now_s: float) -> list[Action]:
-        """Return what is due: openings without an answer go to another target."""
+        """Return what is due: an opening without an answer goes to a second target."""
         last_s, self._last_tick_s = self._last_tick_s, now_s
         if last_s is not None and now_s - last_s > PAUSE_S:
             self.flows.apply_pause(now_s)
@@ -342,11 +350,23 @@
         if now_s - self._pruned_s >= PRUNE_EVERY_S:
             self._prune(now_s)
         late = [
-            flow.opening
+            flow
             for flow in self.flows.openings.values()
-            if now_s - flow.sent_s >= OPENING_TIMEOUT_S and len(flow.tried) < MAX_PLACEMENTS
+            if now_s - flow.sent_s >= OPENING_TIMEOUT_S and len(flow.tried) == 1
         ]
-        return [action for packet in late for action in self._observe_opening(packet, now_s)]
+        return [action for flow in late for action in self._hedge(flow, now_s)]
+
+    def _hedge(self, flow: Flow, now_s: float) -> list[Action]:
+        """Send an opening without an answer to one more target.
+
+        Further ones need a copy from the caller: one that was refused has given the flow up, and
+        the targets that answer it then would pass for silent.
+        """
+        route = self.directory.routes.get(flow.opening.route_key)
+        if route is None:
+            return []
+        self._observe_silence(flow, now_s)
+        return self._place(flow.opening, route, now_s, tried=flow.tried, refused=flow.refused)
 
     def _prune(self, now_s: float) -> None:
         self._pruned_s = now_s
