--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -208,12 +208,10 @@
     def _observe_answer(self, packet: Packet, flow: Flow, now_s: float) -> None:
         if not packet.acknowledges or not is_after(packet.acknowledged, flow.acknowledged):
             return
-        load = self.loads.find(flow.token)
-        load.health.observe_answer(now_s)
+        self.loads.find(flow.token).health.observe_answer(now_s)
         flow.acknowledged = packet.acknowledged
         flow.repeats = 0
         if flow.busy:
-            load.observe_service(now_s - flow.sent_s)
             self.report_answer(flow.token, now_s - flow.sent_s)
             self._set_busy(flow, False)
 
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -269,8 +269,8 @@
         token = build_token(target.identity)
         load = self.loads.find(token)
         shared = self.loads.list_shared(token, now_s)
-        long_flows = load.long_flows + sum(digest.long_flows for digest in shared)
-        busy = load.busy + load.openings + sum(digest.busy for digest in shared)
+        long_flows = load.long_flows + sum(entry.long_flows for entry in shared)
+        busy = load.busy + load.openings + sum(entry.busy for entry in shared)
         is_cold = now_s < self.directory.cold_until_s.get(target.key, 0.0)
         return Candidate(
             target=target,
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -8,8 +8,6 @@
 
 __all__ = ["TargetHealth", "TargetLoad", "TargetLoads", "subtract_entries"]
 
-# Weight of a new sample of the service time.
-SAMPLE_WEIGHT = 0.1
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 8.0
 # A target whose request found no answer is tried with a new flow within this time.
@@ -159,15 +157,8 @@
     openings: int = 0
     long_flows: int = 0
     busy: int = 0
-    service_s: float = 0.0
     health: TargetHealth = field(default_factory=TargetHealth)
 
-    def observe_service(self, service_s: float) -> None:
-        """Take in the time from a request to the acknowledgement of its answer."""
-        if not self.service_s:
-            self.service_s = service_s
-        self.service_s += SAMPLE_WEIGHT * (service_s - self.service_s)
-
 
 class TargetLoads:
     """Loads by token, as this VM and its peers see them."""
