--- a/mulberryswitch/routing/_entry.py
+++ b/mulberryswitch/routing/_entry.py
@@ -1,11 +1,10 @@
 """One VM's part in one flow shard: standby, owner, or owner in transition."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-from enum import Enum
 
 from mulberryswitch.contracts import Pin, ShardAck, ShardRole, ShardState
 
+from ._roles import Outgoing, Role, ShardView
 from ._shard import FlowShard
 from ._streams import Replica, StateStream
 
@@ -27,38 +26,11 @@
 TICK_VALID_S = 1.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Outgoing:
-    """A message to send to VM `vm`."""
-
-    vm: str
-    message: ShardState | ShardAck
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ShardView:
-    """Who is in charge of a shard in the local view; `former` is the owner in the view before."""
-
-    owner: str
-    former: str
-    standbys: tuple[str, ...]
-    live: frozenset[str]
-
-
 def is_handed(replica: Replica, now_s: float) -> bool:
     """Return whether the sender still hands the shard over; it gives up after a few seconds."""
     return replica.role is ShardRole.HANDOVER and now_s - replica.updated_s <= HANDOVER_S
 
 
-class Role(Enum):
-    """What this VM does for a shard."""
-
-    IDLE = 0  # standby, or no part in it
-    WAITING = 1  # owner in the local view, without the state of the previous owner
-    OWNER = 2
-    HANDING_OVER = 3  # still serves, until the successor has acknowledged
-
-
 class ShardEntry:
     """State and role of this VM for one flow shard.
 
--- a/mulberryswitch/routing/_replication.py
+++ b/mulberryswitch/routing/_replication.py
@@ -7,7 +7,8 @@
 from mulberryswitch.vms import Member, pick_owner, pick_standbys
 
 from ._base import FLOW_SHARDS
-from ._entry import TICK_VALID_S, Outgoing, Role, ShardEntry, ShardView
+from ._entry import TICK_VALID_S, ShardEntry
+from ._roles import Outgoing, Role, ShardView
 from ._shard import FlowShard
 from ._streams import estimate_bytes
 
