--- a/mulberryswitch/directory/tests/test_directory.py
+++ b/mulberryswitch/directory/tests/test_directory.py
@@ -123,6 +123,31 @@
         self.assertIsNone(directory.find_departure(build_token(build_target("t1").identity)))
 
 
+class SuccessorTest(unittest.TestCase):
+    """Guards against the next owner of an address or of a name."""
+
+    def test_the_next_owner_of_an_address_does_not_get_its_flows(self):
+        """Flows name a process, not an address, which another service may have by then."""
+        directory = build_directory(build_target_record("t1", 5))
+        directory.apply_records(
+            records=[build_record("t1", 11), build_target_record("t2", 12, service="scans")],
+            revision=12,
+            now_s=1.0,
+        )
+        old, new = (build_target(name) for name in ("t1", "t2"))
+        self.assertEqual(old.address, new.address)
+        self.assertIsNone(directory.find_target(build_token(old.identity)))
+        self.assertEqual(directory.find_target(build_token(new.identity)).service, "scans")
+        self.assertEqual(get_names(directory, now_s=9.0), set())
+
+    def test_a_target_that_starts_again_under_its_name_is_cold_and_in_use(self):
+        directory = build_directory(build_target_record("t1", 5))
+        again = [build_target_record("t1", 11, cold_s=2.0)]
+        directory.apply_records(records=again, revision=11, now_s=1.0)
+        self.assertEqual(get_names(directory), {"t1"})
+        self.assertEqual(directory.cold_until_s["t1"], 3.0)
+
+
 class RouteTest(unittest.TestCase):
     """Guards flows of routes that come and go."""
 
--- a/mulberryswitch/front/tests/test_front.py
+++ b/mulberryswitch/front/tests/test_front.py
@@ -1,9 +1,12 @@
 """Tests of a whole VM against stand-ins on loopback addresses."""
 
 import asyncio
+import tempfile
 import unittest
 from dataclasses import replace
+from pathlib import Path
 
+from mulberryswitch.front._node import _watch_settings
 from mulberryswitch.front.tests.builders import (
     CALLER_HOST,
     RST,
@@ -17,6 +20,7 @@
     start_store,
     wait_until,
 )
+from mulberryswitch.platform.tests.test_settings import TEXT
 from mulberryswitch.transport import HttpClient
 from standins.store import Trouble
 
@@ -118,6 +122,17 @@
                 timeout_s=3.0,
             )
 
+    async def test_versions_in_quick_succession_never_go_back(self):
+        async with RunningFront(self.settings) as front:
+            await wait_until(lambda: len(front.directory.targets) == 2)
+            seen = []
+            for version in range(10, 30):
+                self.store.put("op/config", build_config(version))
+                await asyncio.sleep(0.01)
+                seen.append(front.directory.version)
+            await wait_until(lambda: front.directory.version == 29, timeout_s=3.0)
+            self.assertEqual(seen, sorted(seen))
+
     async def test_lost_history_is_made_up_for_by_a_whole_read(self):
         async with RunningFront(self.settings) as front:
             await wait_until(lambda: len(front.directory.targets) == 2)
@@ -229,6 +244,27 @@
 class ReloadTest(FrontTestCase):
     """Guards settings that change while a VM runs."""
 
+    async def test_the_file_is_applied_with_and_without_a_signal(self):
+        text = TEXT.replace("10.1.0.10", "127.0.0.1")
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "node.conf")
+            write = path.write_text
+            write(text)
+            async with RunningFront(self.settings) as front:
+                signal = asyncio.Event()
+                watcher = asyncio.create_task(_watch_settings(front, path, signal))
+                await asyncio.sleep(0.05)
+                write(text.replace("graceS=6", "graceS=9"))
+                signal.set()
+                await wait_until(lambda: front.settings.shutdown_s == 9.0, timeout_s=1.0)
+                write("nonsense")
+                signal.set()
+                await asyncio.sleep(0.1)
+                self.assertEqual(front.settings.shutdown_s, 9.0)
+                write(text.replace("graceS=6", "graceS=2"))
+                await wait_until(lambda: front.settings.shutdown_s == 2.0)
+                watcher.cancel()
+
     async def test_a_new_store_address(self):
         other = await start_store(9)
         for _ in range(9):
