Test builder: look a flow up before closing it, as the daemon does

The look-up recorded the closed flow again as one assumed from the base and used up a flow of the count that the former owner had reported, so a later unknown flow went over the limit. A replay that prints each change of the counts shows the closed flows coming back. FlowService looks up first and closes when the target says so.

Ruled out: counts of the former owner that are a second old; all flows were 6 s old.

--- a/mulberryswitch/routing/tests/builders.py
+++ b/mulberryswitch/routing/tests/builders.py
@@ -222,9 +222,12 @@
     def resolve(self, flows: FlowShard, flow: bytes, kind: int) -> str | ResultCode | None:
         if kind == PacketKind.OPEN:
             return flows.apply_open(flow=flow, now_s=self.now_s)
-        if kind == PacketKind.CLOSE:
+        # As in the daemon, a flow is looked up before it is closed: a look-up afterwards would
+        # record it again and use up a flow of the count that the former owner reported.
+        target = flows.lookup(flow=flow, now_s=self.now_s)
+        if kind == PacketKind.CLOSE and target is not ResultCode.NOT_OWNER:
             flows.apply_close(flow=flow, now_s=self.now_s)
-        return flows.lookup(flow=flow, now_s=self.now_s)
+        return target
 
     def owner(self, shard: int) -> str:
         return next(vm for vm, shards in self.vms.items() if shards.owns(SERVICE, shard))
