A VM whose link is full no longer takes targets that live for dark

Their openings are answered late, and a hundred targets that live were accused within two seconds. Three faults added up: - An opening that went to a second target and was then answered by the first accused the second one. - A caller that opened two flows at once looked refused; the first flow was forgotten, so its late answer cleared nobody. - Proofs never expired, and no VM heard that its peers had answers of the same target.

Now only targets tried before the one that answered are accused; a flow that seems given up stays known; proofs count together within 3 s; shares of load say how long a target has been silent, and an open flow is reset only if no peer of the zone has heard of the target either, as of 0.6 s after the request. Loads are told by one reader of a zone, at most 1 KB/s, and targets are drawn before they are rated.

Ruled out: a route that was removed, a departed record, an unknown token (reasons of the resets in the log were all "target silent"). Tests for each fault.

--- a/mulberryswitch/contracts/__init__.py
+++ b/mulberryswitch/contracts/__init__.py
@@ -7,6 +7,7 @@
 from ._feed import (
     FEED_CODEC,
     MAX_PULL_BYTES,
+    MAX_SILENT_DS,
     PULL_CODEC,
     DirectoryPart,
     DirectoryPull,
@@ -36,6 +37,7 @@
     "TargetDoubt",
     "TargetSilent",
     "MAX_PULL_BYTES",
+    "MAX_SILENT_DS",
     "PULL_CODEC",
     "ZoneLoads",
     "Ack",
--- a/mulberryswitch/contracts/_feed.py
+++ b/mulberryswitch/contracts/_feed.py
@@ -9,6 +9,7 @@
     "FEED_CODEC",
     "MAX_PULL_BYTES",
     "PULL_CODEC",
+    "MAX_SILENT_DS",
     "DirectoryPart",
     "DirectoryPull",
     "FeedAnnounce",
@@ -21,15 +22,21 @@
 
 MAX_FEED_BYTES = 60_000
 MAX_PULL_BYTES = 16 * 1024 * 1024
+# Tenths of a second that stand for a target of which no answer is known; one byte in msgpack.
+MAX_SILENT_DS = 100
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadEntry:
-    """Flows and requests in flight at the target that `token` names."""
+    """Flows and requests in flight at the target that `token` names.
+
+    `silent_ds` is the time since it last answered anybody, in tenths of a second.
+    """
 
     token: int
     long_flows: int
     busy: int
+    silent_ds: int = MAX_SILENT_DS
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mulberryswitch/directory/_feed.py
+++ b/mulberryswitch/directory/_feed.py
@@ -132,6 +132,16 @@
         """Return the readers of this zone that were heard lately."""
         return [s for s in self._near_readers() if now_s - s.heard_s <= 2 * SILENCE_S]
 
+    def pick_load_reader(self, members: Sequence[Member], now_s: float) -> Source | None:
+        """Return the reader of this zone that sums the loads: the first rank that was heard."""
+        heard = {source.vm: source for source in self.list_near_readers(now_s)}
+        ranked = rank_readers(zone=self.zone, members=members)
+        return next((heard[member.vm] for member in ranked if member.vm in heard), None)
+
+    def is_load_reader(self, members: Sequence[Member]) -> bool:
+        """Return whether this VM sums the loads of its zone."""
+        return self._get_rank(members) == 0
+
     def drop_old(self, members: Sequence[Member], now_s: float) -> None:
         """Forget peers that are neither members nor heard."""
         names = {member.vm for member in members}
--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -57,6 +57,8 @@
         A request was sent and its answer has not been acknowledged.
     repeats : int
         How often the caller has repeated the newest payload.
+    is_given_up : bool
+        Its caller seems to have been refused, since it opened another flow.
     """
 
     token: int
@@ -71,6 +73,7 @@
     acknowledged: int = 0
     busy: bool = False
     repeats: int = 0
+    is_given_up: bool = False
     is_closed: bool = False
 
 
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -17,7 +17,7 @@
 from ._flows import Flow, FlowTable
 from ._loads import TargetHealth, TargetLoads
 from ._packets import Action, FlowKey, Forward, Packet, Reset, format_flow
-from ._placement import Candidate, pick_service, pick_target
+from ._placement import Candidate, draw_targets, pick_service, pick_target
 
 __all__ = ["Forwarder"]
 
@@ -130,6 +130,7 @@
         flow = self.flows.find(packet.flow)
         if flow is None or flow.is_closed:
             return self._place(packet, route, now_s, refused=self._find_refusals(packet, now_s))
+        flow.is_given_up = False
         if flow.opening is None or now_s - flow.sent_s < OPENING_TIMEOUT_S:
             return self._repeat(packet, flow)
         # The caller still waits, so the target that was tried last does not answer either.
@@ -146,17 +147,19 @@
         next one answers a caller that has given the flow up.
         """
         refused = [
-            (key, flow)
+            flow
             for key, flow in self.flows.openings.items()
             if key[0] == packet.flow[0]
             and key[2:] == packet.flow[2:]
             and now_s - flow.opened_s >= REFUSED_S
+            and not flow.is_given_up
         ]
-        for key, flow in refused:
+        for flow in refused:
             if len(flow.tried) == 1:
                 self._observe_silence(flow, now_s)
-            self.flows.remove(key)
-        return tuple(flow.tried[-1] for _, flow in refused)
+            # It stays known: an answer that was only late must clear its target.
+            flow.is_given_up = True
+        return tuple(flow.tried[-1] for flow in refused)
 
     def _repeat(self, packet: Packet, flow: Flow) -> list[Action]:
         target = self.directory.find_target(flow.token)
@@ -178,13 +181,26 @@
         )
 
     def _observe_opened(self, packet: Packet, flow: Flow, now_s: float) -> None:
-        """A flow opened: the targets that were tried before do not answer, and others may know."""
-        for key in (*flow.tried, *flow.refused):
-            target = self.directory.targets.get(key)
-            if target is None or (token := build_token(target.identity)) == packet.token:
-                continue
+        """A flow opened: the targets that were tried before do not answer, and others may know.
+
+        The target that was tried after the one that answered has had no chance: the caller takes
+        the first answer, which may only have been late.
+        """
+        tokens = [
+            build_token(target.identity)
+            for key in flow.tried
+            if (target := self.directory.targets.get(key)) is not None
+        ]
+        if packet.token in tokens:
+            tokens = tokens[tokens.index(packet.token) + 1 :]
+        refused = [
+            build_token(target.identity)
+            for key in flow.refused
+            if (target := self.directory.targets.get(key)) is not None
+        ]
+        for token in {*tokens, *refused} - {packet.token}:
             health = self.loads.find(token).health
-            if health.observe_proof(since_s=flow.opened_s):
+            if health.observe_proof(since_s=flow.opened_s, now_s=now_s):
                 self.report_silence(token, health)
 
     def _place(
@@ -200,10 +216,10 @@
         avoided = (*tried, *refused)
         service = pick_service(route=route, flow=packet.flow)
         serving = self.directory.list_serving(service, now_s)
-        candidates = [self._rate(target, now_s) for target in serving]
-        target = self._pick_doubted(serving, avoided, now_s) or pick_target(
-            candidates=candidates, zone=self.zone, tried=avoided, rng=self.rng
-        )
+        doubted = None if avoided else self._pick_doubted(serving, now_s)
+        drawn = [doubted] if doubted else self._draw(serving, avoided, now_s)
+        candidates = [self._rate(target, now_s) for target in drawn]
+        target = pick_target(candidates=candidates, zone=self.zone, tried=avoided, rng=self.rng)
         if target is None:
             return self._reset(packet, "no target")
         token = build_token(target.identity)
@@ -237,8 +253,8 @@
                 "work": round(chosen.work, 2),
                 "speed": chosen.speed,
                 "target_zone": target.zone,
+                "rated": len(candidates),
                 "ejected": sum(c.is_ejected for c in candidates),
-                "candidates": len(candidates),
                 "tried": avoided,
                 "version": self.directory.version,
                 "revision": self.directory.revision,
@@ -251,16 +267,19 @@
         if target is not None:
             self.report_answer(target.service, answer_s)
 
-    def _pick_doubted(
-        self, serving: list[Target], avoided: tuple[str, ...], now_s: float
-    ) -> Target | None:
-        """Return a target that open flows make doubtful; one new flow tells whether it lives."""
-        if avoided:
-            return None
-        for target in serving:
+    def _draw(self, serving: list[Target], avoided: tuple[str, ...], now_s: float) -> list[Target]:
+        def is_usable(target: Target) -> bool:
             health = self.loads.find(build_token(target.identity)).health
-            if health.is_doubted(now_s):
-                health.doubted_s = float("-inf")
+            return target.key not in avoided and not health.is_ejected(now_s)
+
+        return draw_targets(targets=serving, zone=self.zone, is_usable=is_usable, rng=self.rng)
+
+    def _pick_doubted(self, serving: list[Target], now_s: float) -> Target | None:
+        """Return a target that open flows make doubtful; one new flow tells whether it lives."""
+        for token in self.loads.list_doubted(now_s):
+            target = self.directory.find_target(token)
+            if target in serving:
+                self.loads.end_doubt(token)
                 self.count("targets_tried", 1)
                 return target
         return None
@@ -286,12 +305,14 @@
         health = self.loads.find(flow.token).health
         if health.is_dark(now_s):
             return True
-        if flow.repeats and health.answered_s < flow.sent_s:
-            health.observe_doubt(now_s)
+        if flow.repeats and health.lived_s < flow.sent_s:
+            self.loads.observe_doubt(flow.token, now_s)
             self.report_doubt(flow.token)
         if not flow.repeats or now_s - flow.sent_s < DARK_SILENCE_S:
             return False
-        is_dark = health.observe_open_silence(since_s=flow.sent_s, now_s=now_s)
+        is_dark = health.observe_open_silence(
+            since_s=flow.sent_s, checked_s=self.loads.get_checked_s(now_s), now_s=now_s
+        )
         if is_dark:
             self.report_silence(flow.token, health)
         return is_dark
@@ -352,7 +373,9 @@
         late = [
             flow
             for flow in self.flows.openings.values()
-            if now_s - flow.sent_s >= OPENING_TIMEOUT_S and len(flow.tried) == 1
+            if now_s - flow.sent_s >= OPENING_TIMEOUT_S
+            and len(flow.tried) == 1
+            and not flow.is_given_up
         ]
         return [action for flow in late for action in self._hedge(flow, now_s)]
 
--- a/mulberryswitch/forwarding/_placement.py
+++ b/mulberryswitch/forwarding/_placement.py
@@ -2,7 +2,7 @@
 
 import struct
 import zlib
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -10,7 +10,7 @@
 
 from ._packets import FlowKey
 
-__all__ = ["Candidate", "pick_service", "pick_target"]
+__all__ = ["Candidate", "draw_targets", "pick_service", "pick_target"]
 
 # Work per slot by which a target of another zone has to be less loaded. A flow that stays in its
 # zone outlives a cut of the zone, so only a queue at home is worth leaving it.
@@ -63,6 +63,40 @@
     return route.shares[-1][0]
 
 
+def draw_targets(
+    *, targets: Sequence[Target], zone: str, is_usable: Callable[[Target], bool], rng: Random
+) -> list[Target]:
+    """Return the targets that are worth rating: some of `zone` and some of other zones.
+
+    The cost of a new flow then does not grow with the number of targets.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+        Targets of the flow's service.
+    zone : str
+        Availability zone of this VM.
+    is_usable : callable
+        Whether a target answers and was not tried yet; others are drawn only if none is left.
+    rng : Random
+    """
+    near = [target for target in targets if target.zone == zone]
+    far = [target for target in targets if target.zone != zone]
+    return [*_draw(near, is_usable, rng), *_draw(far, is_usable, rng)]
+
+
+def _draw(
+    targets: Sequence[Target], is_usable: Callable[[Target], bool], rng: Random
+) -> Sequence[Target]:
+    if len(targets) <= SAMPLE_TARGETS:
+        return targets
+    sample = rng.sample(targets, SAMPLE_TARGETS)
+    if all(map(is_usable, sample)):
+        return sample
+    usable = [target for target in targets if is_usable(target)]
+    return rng.sample(usable, min(SAMPLE_TARGETS, len(usable))) or sample
+
+
 def pick_target(
     *, candidates: Sequence[Candidate], zone: str, tried: Collection[str], rng: Random
 ) -> Target | None:
--- a/mulberryswitch/forwarding/tests/play.py
+++ b/mulberryswitch/forwarding/tests/play.py
@@ -228,7 +228,7 @@
                 if self._vm_zones[i] == self._vm_zones[vm] and i != vm
             ]
             for i, peer in enumerate(peers):
-                entries = peer.loads.build_share()
+                entries = peer.loads.build_share(self.now_s)
                 forwarder.loads.observe_share(vm=f"{i}", entries=entries, now_s=self.now_s)
         self.later(SHARE_S, self._share)
 
@@ -255,7 +255,7 @@
             if i != vm and self._vm_zones[i] == self._vm_zones[vm]:
                 self.later(
                     NEAR_LINK_S,
-                    lambda f=forwarder: f.loads.find(token).health.observe_doubt(self.now_s),
+                    lambda f=forwarder: f.loads.observe_doubt(token, self.now_s),
                 )
 
     # Callers
--- a/mulberryswitch/forwarding/tests/test_forwarder.py
+++ b/mulberryswitch/forwarding/tests/test_forwarder.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mulberryswitch.contracts import LoadEntry
 from mulberryswitch.directory import Directory, build_token
 from mulberryswitch.directory.tests.builders import (
     build_config_record,
@@ -232,7 +233,7 @@
         """Let openings go unanswered by t2 that another target then answers."""
         health = self.forwarder.loads.find(token_of("t2")).health
         for _ in range(count):
-            health.observe_proof(since_s=now_s)
+            health.observe_proof(since_s=now_s, now_s=now_s)
 
     def start(self) -> None:
         self.send(0.0, caller_port=5000, token=token_of("t2"), sequence=99, acknowledged=7)
@@ -279,6 +280,42 @@
         self.fail_openings(0.2, 2)
         self.assertIsInstance(self.request(0.7, port=80)[0], Forward)
 
+    def test_proofs_that_lie_far_apart_are_lost_packets(self):
+        """Two openings lost within minutes must not add up to a dark target."""
+        self.start()
+        self.fail_openings(0.2, 1)
+        self.fail_openings(4.0, 1)
+        self.request(4.1)
+        self.assertIsInstance(self.request(4.9)[0], Forward)
+
+    def hear_of_peers(self, *, silent_ds: int, now_s: float) -> None:
+        """Let the reader of the zone say when t2 last answered anybody."""
+        entry = LoadEntry(token=token_of("t2"), long_flows=3, busy=1, silent_ds=silent_ds)
+        self.forwarder.loads.has_peers = True
+        self.forwarder.loads.observe_zone(zone="za", entries=[entry], now_s=now_s, is_own=True)
+
+    def test_a_target_that_answers_peers_is_not_dark(self):
+        """A VM whose link is full loses packets to targets that live."""
+        self.start()
+        self.request(0.1)
+        self.fail_openings(0.2, 2)
+        self.hear_of_peers(silent_ds=2, now_s=0.8)
+        self.assertIsInstance(self.request(0.9)[0], Forward)
+
+    def test_a_target_that_is_silent_to_peers_too_is_dark(self):
+        self.start()
+        self.request(0.1)
+        self.fail_openings(0.2, 2)
+        self.hear_of_peers(silent_ds=9, now_s=0.8)
+        self.assertIsInstance(self.request(0.9)[0], Reset)
+
+    def test_no_word_of_peers_is_no_word_against_the_target(self):
+        self.start()
+        self.hear_of_peers(silent_ds=9, now_s=0.05)
+        self.request(0.1)
+        self.fail_openings(0.2, 2)
+        self.assertIsInstance(self.request(0.9)[0], Forward)
+
 
 class OwnPathTest(PathTest):
     """Guards targets against a VM whose own link is full or cut."""
@@ -302,6 +339,24 @@
         self.acknowledge(0.06, first)
         self.assertEqual(self.forwarder.loads.find(token_of(first)).health.unanswered, 0)
 
+    def test_a_late_answer_of_the_first_target_is_no_proof_against_the_second(self):
+        """The caller takes the first answer, so the second target had no chance to show itself."""
+        first = self.open(0.0)
+        (action,) = self.forwarder.decide_tick(now_s=0.05)
+        self.acknowledge(0.06, first)
+        second = token_of(action.target.key)
+        self.assertEqual(self.forwarder.loads.find(second).health.unanswered, 0)
+
+    def test_a_late_answer_to_a_flow_that_seemed_given_up_clears_its_target(self):
+        """A caller may open two flows at once; the first one's answer was only late."""
+        first = self.open(0.0)
+        second = self.open(0.02, caller_port=1001)
+        self.acknowledge(0.03, second, caller_port=1001)
+        self.assertEqual(self.forwarder.loads.find(token_of(first)).health.unanswered, 1)
+        self.acknowledge(0.04, first)
+        health = self.forwarder.loads.find(token_of(first)).health
+        self.assertFalse(health.unanswered or health.is_ejected(0.05))
+
     def test_a_refused_opening_counts_when_the_callers_next_flow_opens(self):
         first = self.open(0.0)
         second = self.open(0.02, caller_port=1001, opens=True)
--- a/mulberryswitch/forwarding/tests/test_placement.py
+++ b/mulberryswitch/forwarding/tests/test_placement.py
@@ -13,6 +13,8 @@
     Candidate,
     TargetHealth,
     TargetLoads,
+    draw_targets,
+    get_load_period_s,
     pick_service,
     pick_target,
     subtract_entries,
@@ -111,6 +113,34 @@
         self.assertTrue(health.is_ejected(3.5))
 
 
+class DrawTest(unittest.TestCase):
+    """Guards new flows of large services against silent targets and against rating them all."""
+
+    def draw(self, targets, silent=()):
+        return draw_targets(
+            targets=targets, zone="za", is_usable=lambda t: t.key not in silent, rng=Random(1)
+        )
+
+    def build(self, count: int) -> list:
+        return [build_target(f"t{n}", zone=("za", "zb")[n % 2]) for n in range(count)]
+
+    def test_a_large_service_costs_as_much_as_a_small_one(self):
+        drawn = self.draw(self.build(1_000))
+        self.assertEqual([t.zone for t in drawn], ["za"] * 6 + ["zb"] * 6)
+
+    def test_all_of_a_small_service_are_rated(self):
+        self.assertEqual(len(self.draw(self.build(8))), 8)
+
+    def test_the_last_target_that_answers_is_found(self):
+        targets = self.build(40)
+        silent = {target.key for target in targets} - {"t6"}
+        self.assertIn("t6", [target.key for target in self.draw(targets, silent)])
+
+    def test_silent_targets_are_drawn_when_no_other_is_left(self):
+        targets = self.build(40)
+        self.assertTrue(self.draw(targets, {target.key for target in targets}))
+
+
 class SharedLoadTest(unittest.TestCase):
     """Guards the sums that VMs of a zone place by."""
 
@@ -128,6 +158,31 @@
         rest = subtract_entries([self.build_entry(9, 2)], [self.build_entry(4, 3)])
         self.assertEqual(rest, [self.build_entry(5, 0)])
 
+    def test_the_last_sign_of_life_in_the_zone_counts(self):
+        """A target that answers any VM of the zone lives."""
+        loads = TargetLoads()
+        loads.find(1).long_flows = 1
+        loads.find(1).health.observe_answer(0.0)
+        entry = LoadEntry(token=1, long_flows=2, busy=0, silent_ds=3)
+        loads.observe_share(vm="vm-1", entries=[entry], now_s=5.0)
+        self.assertAlmostEqual(loads.find(1).health.lived_s, 4.7)
+        (total,) = loads.build_zone(5.5)
+        self.assertEqual((total.long_flows, total.silent_ds), (3, 8))
+
+    def test_a_vm_does_not_pass_on_what_it_heard(self):
+        """Word that goes round between VMs would keep a dark target alive."""
+        loads = TargetLoads()
+        loads.find(1).long_flows = 1
+        loads.find(1).health.observe_answer(0.0)
+        entry = LoadEntry(token=1, long_flows=2, busy=0, silent_ds=3)
+        loads.observe_zone(zone="za", entries=[entry], now_s=5.0, is_own=True)
+        self.assertEqual(loads.build_share(5.0)[0].silent_ds, 50)
+
+    def test_large_sums_are_told_less_often(self):
+        """Control traffic must not grow with the targets of a zone."""
+        self.assertEqual(get_load_period_s(10), 0.3)
+        self.assertEqual(get_load_period_s(200), 1.8)
+
     def test_a_silent_peer_is_forgotten(self):
         loads = TargetLoads()
         loads.observe_zone(zone="za", entries=[self.build_entry(9)], now_s=1.0)
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -1,6 +1,7 @@
 """The task that speaks with the other VMs: membership, announcements and loads."""
 
 import asyncio
+import heapq
 import logging
 import time
 from collections.abc import Callable, Iterable
@@ -11,13 +12,19 @@
     FEED_CODEC,
     DecodeError,
     FeedAnnounce,
+    LoadEntry,
     LoadShare,
     TargetDoubt,
     TargetSilent,
     ZoneLoads,
 )
 from mulberryswitch.directory import Directory, Feed, Source
-from mulberryswitch.forwarding import TargetHealth, TargetLoads, subtract_entries
+from mulberryswitch.forwarding import (
+    TargetHealth,
+    TargetLoads,
+    get_load_period_s,
+    subtract_entries,
+)
 from mulberryswitch.transport import DatagramSocket, parse_endpoint
 from mulberryswitch.vms import Membership
 
@@ -28,13 +35,14 @@
 
 TICK_S = 0.1
 ANNOUNCE_S = 0.3
-SHARE_S = 0.3
 ASK_S = 0.2
 # Changes that fit into a datagram beside the loads are told with the announcement.
 MAX_INLINE_BYTES = 800
 ASKED_PEERS = 3
 # Entries of one datagram; the busiest targets matter most.
 MAX_LOAD_ENTRIES = 100
+# Names the sum over all other zones in an announcement to the own zone.
+OTHER_ZONES = ""
 
 log = logging.getLogger("peers")
 
@@ -102,7 +110,8 @@
         )
         self._announced_s = float("-inf")
         self._announced_revision = 0
-        self._shared_s = float("-inf")
+        self._loads_due_s = float("-inf")
+        self._share_due_s = float("-inf")
         self._asked_s = float("-inf")
         self._was_reader = False
 
@@ -220,27 +229,32 @@
         for send in sends:
             self._send(send.address, send.message)
 
-    def _build_announce(self, now_s: float, *, is_near: bool = False) -> FeedAnnounce:
-        """Return an announcement; what is known of other zones stays in this one."""
-        age_s = self.get_confirmed_age_s()
-        heard = self.loads.list_zones(now_s) if is_near else []
-        zones = [(zone, entries) for zone, entries in heard if zone != self.settings.zone]
-        own = (self.settings.zone, self.loads.build_zone(now_s))
+    def _build_announce(self, now_s: float, loads: tuple[ZoneLoads, ...] = ()) -> FeedAnnounce:
         return FeedAnnounce(
             fleet=self.fleet,
             vm=self.settings.vm,
             zone=self.settings.zone,
             revision=self.directory.revision,
-            age_ms=int(min(age_s, 3600.0) * 1000),
+            age_ms=int(min(self.get_confirmed_age_s(), 3600.0) * 1000),
             is_reader=self._was_reader,
-            loads=tuple(
-                ZoneLoads(zone=zone, entries=tuple(entries[:MAX_LOAD_ENTRIES]))
-                for zone, entries in [own, *zones]
-            ),
+            loads=loads,
             after=self._announced_revision,
             packed=self._pack_news(),
         )
 
+    def _build_loads(self, now_s: float) -> list[ZoneLoads]:
+        """Return the loads of this zone and of the others, if it is time to tell them."""
+        is_teller = self.loads.has_shares or self.feed.is_load_reader(self.membership.live())
+        if now_s < self._loads_due_s or not is_teller:
+            return []
+        zone = self.settings.zone
+        loads = [
+            _build_zone(zone, self.loads.build_zone(now_s)),
+            _build_zone(OTHER_ZONES, self.loads.build_rest(zone, now_s)),
+        ]
+        self._loads_due_s = now_s + get_load_period_s(sum(len(item.entries) for item in loads))
+        return loads
+
     def _pack_news(self) -> bytes:
         """Return the changes since the last announcement if they are few and small."""
         if self.directory.revision == self._announced_revision:
@@ -257,24 +271,26 @@
         if now_s - self._announced_s < ANNOUNCE_S:
             return
         self._announced_s = now_s
-        near = self._build_announce(now_s, is_near=True)
-        far = self._build_announce(now_s)
+        loads = self._build_loads(now_s)
+        near = self._build_announce(now_s, tuple(loads))
+        # What is known of other zones stays in this one.
+        far = self._build_announce(now_s, tuple(loads[:1]))
         self._announced_revision = self.directory.revision
         for member in self.feed.list_listeners(self.membership.live()):
             self._send(member.address, near if member.zone == self.settings.zone else far)
 
     def _share(self, now_s: float) -> None:
-        if now_s - self._shared_s < SHARE_S:
+        """Tell this VM's loads to the reader that sums them up."""
+        members = self.membership.live()
+        zone = self.settings.zone
+        self.loads.has_peers = any(m.zone == zone and m.vm != self.settings.vm for m in members)
+        reader = self.feed.pick_load_reader(members, now_s)
+        if now_s < self._share_due_s or reader is None:
             return
-        self._shared_s = now_s
-        share = LoadShare(
-            fleet=self.fleet,
-            vm=self.settings.vm,
-            zone=self.settings.zone,
-            entries=tuple(self.loads.build_share()[:MAX_LOAD_ENTRIES]),
-        )
-        for source in self.feed.list_near_readers(now_s):
-            self._send(source.address, share)
+        entries = _pick_busiest(self.loads.build_share(now_s))
+        self._share_due_s = now_s + get_load_period_s(len(entries))
+        share = LoadShare(fleet=self.fleet, vm=self.settings.vm, zone=zone, entries=entries)
+        self._send(reader.address, share)
 
     def _ask(self, now_s: float) -> None:
         """Ask peers for what they know while this VM knows nothing."""
@@ -317,7 +333,7 @@
         elif message.zone != self.settings.zone:
             return
         elif isinstance(message, TargetDoubt):
-            self.loads.find(message.token).health.observe_doubt(now_s)
+            self.loads.observe_doubt(message.token, now_s)
         else:
             self.loads.observe_share(vm=message.vm, entries=message.entries, now_s=now_s)
 
@@ -354,10 +370,25 @@
     def _observe_loads(self, message: FeedAnnounce, now_s: float) -> None:
         is_near = message.zone == self.settings.zone
         for loads in message.loads:
-            if loads.zone == self.settings.zone:
-                if is_near and not self._was_reader:
-                    entries = subtract_entries(loads.entries, self.loads.build_share())
-                    self.loads.observe_zone(zone=loads.zone, entries=entries, now_s=now_s)
-            elif is_near or loads.zone == message.zone:
-                # A zone's own reader knows it best; a near one only passes it on.
-                self.loads.observe_zone(zone=loads.zone, entries=loads.entries, now_s=now_s)
+            is_own = loads.zone == self.settings.zone
+            entries = loads.entries
+            if is_own:
+                if not is_near or self.loads.has_shares:
+                    continue
+                entries = subtract_entries(entries, self.loads.build_share(now_s))
+            elif not is_near and loads.zone != message.zone:
+                continue
+            elif is_near and self._was_reader:
+                # Readers hear of each other zone from its own reader.
+                continue
+            self.loads.observe_zone(zone=loads.zone, entries=entries, now_s=now_s, is_own=is_own)
+
+
+def _pick_busiest(entries: Iterable[LoadEntry]) -> tuple[LoadEntry, ...]:
+    return tuple(
+        heapq.nlargest(MAX_LOAD_ENTRIES, entries, key=lambda entry: (entry.busy, entry.long_flows))
+    )
+
+
+def _build_zone(zone: str, entries: Iterable[LoadEntry]) -> ZoneLoads:
+    return ZoneLoads(zone=zone, entries=_pick_busiest(entries))
