--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := mulberryswitch standins benchmarks examples tools
+PACKAGES := mulberryswitch standins soak benchmarks examples tools
 
-.PHONY: help env test lint format demo bench faults slopes docs clean
+.PHONY: help env test lint format demo bench faults slopes soak docs clean
 
 help: ## list the commands that a contributor runs daily
 	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 12
@@ -38,5 +38,8 @@
 slopes: env ## print the measured slopes behind docs/CAPACITY.md
 	$(PY) -m benchmarks.slopes
 
+soak: env ## run the seeds that once failed and three fresh ones against real processes
+	$(PY) -m soak --fresh 3 --keep soak-logs
+
 clean: ## remove the environment and caches
 	rm -rf $(VENV) .hypothesis .ruff_cache build *.egg-info
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -99,6 +99,19 @@
             while any(self.router.misses.values()):  # noqa: ASYNC110 - counts have no event
                 await asyncio.sleep(0.1)
 
+    async def inject(self, faults: tuple[Fault, ...], relay: Relay) -> None:
+        """Carry out the faults and leave time for the recovery and a calm end."""
+        injector = Injector(
+            world=self.world,
+            processes=self.processes,
+            relay=relay,
+            records=self.records,
+            clock=self.clock,
+        )
+        await injector.run(faults)
+        self.records.faults_end_s = self.clock()
+        await asyncio.sleep(RECOVERY_S + CALM_S)
+
     async def put_load(self) -> None:
         """Ask for ever: long flows, single requests of both kinds, and probes of versions."""
         async with asyncio.TaskGroup() as group:
@@ -151,17 +164,10 @@
         tasks = [asyncio.create_task(step()) for step in (run.processes.watch, run.router.run)]
         await run.wait_until_ready()
         tasks.append(asyncio.create_task(run.put_load()))
-        injector = Injector(
-            world=run.world,
-            processes=run.processes,
-            relay=relay,
-            records=run.records,
-            clock=run.clock,
-        )
-        await injector.run(faults)
-        run.records.faults_end_s = run.clock()
-        await asyncio.sleep(RECOVERY_S + CALM_S)
+        await run.inject(faults, relay)
         _check_tasks(tasks)
+    except TimeoutError:
+        run.records.violations.append(f"not all VMs serve {START_TIMEOUT_S} s after their start")
     finally:
         for task in tasks:
             task.cancel()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -55,7 +55,7 @@
     else:
         found = unittest.TestSuite(
             loader.discover(str(ROOT / package), top_level_dir=str(ROOT))
-            for package in ("mulberryswitch", "standins")
+            for package in ("mulberryswitch", "standins", "soak")
         )
     cases = list(iterate_cases(found))
     known_red = read_known_red()
