--- a/mulberryswitch/directory/_feed.py
+++ b/mulberryswitch/directory/_feed.py
@@ -56,6 +56,8 @@
         self._sources: dict[str, Source] = {}
         self._started_s: float | None = None
         self._pulled_s: dict[str, float] = {}
+        self._members: Sequence[Member] = ()
+        self._ranked: list[Member] = []
 
     def observe_announce(self, source: Source) -> None:
         """Take in a peer's announcement."""
@@ -91,7 +93,7 @@
 
     def _find_parent(self, members: Sequence[Member], newest: Source) -> Source | None:
         """Return this VM's parent in the tree below the readers of the zone."""
-        ranked = rank_readers(zone=self.zone, members=members)
+        ranked = self._rank(members)
         rank = next((i for i, member in enumerate(ranked) if member.vm == self.vm), 0)
         if rank < READERS_PER_ZONE:
             return None
@@ -135,7 +137,7 @@
     def pick_load_reader(self, members: Sequence[Member], now_s: float) -> Source | None:
         """Return the reader of this zone that sums the loads: the first rank that was heard."""
         heard = {source.vm: source for source in self.list_near_readers(now_s)}
-        ranked = rank_readers(zone=self.zone, members=members)
+        ranked = self._rank(members)
         return next((heard[member.vm] for member in ranked if member.vm in heard), None)
 
     def is_load_reader(self, members: Sequence[Member]) -> bool:
@@ -159,6 +161,13 @@
     def _near_readers(self) -> list[Source]:
         return [s for s in self._sources.values() if s.zone == self.zone and s.is_reader]
 
+    def _rank(self, members: Sequence[Member]) -> list[Member]:
+        """Return the VMs of this zone by rank; the membership keeps its tuple until it changes."""
+        if members is not self._members:
+            self._members = members
+            self._ranked = rank_readers(zone=self.zone, members=members)
+        return self._ranked
+
     def _get_rank(self, members: Sequence[Member]) -> int:
-        ranked = [member.vm for member in rank_readers(zone=self.zone, members=members)]
+        ranked = [member.vm for member in self._rank(members)]
         return ranked.index(self.vm) if self.vm in ranked else 0
--- a/mulberryswitch/vms/_membership.py
+++ b/mulberryswitch/vms/_membership.py
@@ -1,23 +1,19 @@
 """SWIM membership as a deterministic state machine."""
 
-import heapq
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
-from typing import Protocol
 
 from mulberryswitch.contracts import Ack, MemberState, MemberUpdate, Ping, PingRequest
 
-from ._owners import Member
+from ._datagrams import INDIRECT_PINGS, SEED_PREFIX, DatagramBuilder, Send
+from ._owners import ListEntry, Member
+from ._probes import Probe, Relay
 from ._updates import is_valid_update
-from ._view import FORGET_DEAD_S, View, build_member, build_update
+from ._view import View, build_member, build_update
 
 __all__ = ["ListEntry", "Membership", "Send"]
 
-MAX_DATAGRAM_BYTES = 1400
-# msgpack of a message without its updates: array, tag, sequence, two text headers, array header.
-MESSAGE_OVERHEAD_BYTES = 1 + 1 + 9 + 2 * 3 + 3
-INDIRECT_PINGS = 3
 # A member answers within half a period; an indirect round crosses four links and gets a whole one.
 DIRECT_TIMEOUT_PERIODS = 0.5
 INDIRECT_TIMEOUT_PERIODS = 1.5
@@ -30,49 +26,11 @@
 MAX_CHECKS_PER_PERIOD = 32
 MAX_CONTACTS_PER_PERIOD = 4
 MAX_LEAVING_PINGS = 64
-MAX_RECENT_CHANGES = 32
 # A VM that joined or returned within this time is told what changed in the last 60 s.
 NEWCOMER_S = 3.0
 FIRST_PINGS = 8
 # Several suspects at once mean that a zone failed or was cut off: probing speeds up.
 MAX_EXTRA_PROBES = 3
-SEED_PREFIX = "@"
-
-
-class ListEntry(Protocol):
-    """One VM in the platform's list."""
-
-    vm: str
-    zone: str
-    address: str
-    leaving: bool
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Send:
-    """A datagram to send; `message` is encoded with ``MEMBERSHIP_CODEC``."""
-
-    address: str
-    message: Ping | PingRequest | Ack
-
-
-@dataclass(kw_only=True, slots=True)
-class _Probe:
-    """A member that was pinged at `sent_s` and has to be heard since."""
-
-    vm: str
-    sent_s: float
-    is_indirect: bool = False
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Relay:
-    """A ping on behalf of another VM that waits for its acknowledgement."""
-
-    address: str
-    sequence: int
-    vm: str
-    sent_s: float
 
 
 class Membership:
@@ -117,10 +75,9 @@
             vm=vm, zone=zone, address=address, incarnation=incarnation, state=MemberState.ALIVE
         )
         self._view = View(own=own, suspicion_s=suspicion_s)
-        self._sequence = 0
-        self._sent_s_by_sequence: dict[int, float] = {}
-        self._probes: list[_Probe] = []
-        self._relays: dict[int, _Relay] = {}
+        self._datagrams = DatagramBuilder(vm=vm, view=self._view)
+        self._probes: list[Probe] = []
+        self._relays: dict[int, Relay] = {}
         self._round: list[str] = []
         self._listed: dict[str, str] = {}
         self._unheard: dict[str, str] = {}
@@ -216,8 +173,8 @@
             answers = self._answer_ping_request(message, sender_address, now_s)
         else:
             answers = self._answer_ack(message, now_s)
-        self._probes += [_Probe(vm=vm, sent_s=now_s) for vm in checks]
-        return answers + [self._ping(vm, now_s) for vm in checks]
+        self._probes += [Probe(vm=vm, sent_s=now_s) for vm in checks]
+        return answers + [self._datagrams.ping(vm, now_s) for vm in checks]
 
     def _apply_claim(self, claim: MemberUpdate, now_s: float) -> None:
         """Apply what a VM says about itself."""
@@ -288,15 +245,15 @@
         # An address can be taken over by another VM, which must not answer for the former one.
         if ping.about not in ("", self.vm) or self.is_superseded:
             return []
-        first = self._build_notice(ping.sender, claim)
+        first = self._datagrams.build_notice(ping.sender, claim)
         record = self._view.records.get(ping.sender)
         if record is None or now_s - record.changed_s <= NEWCOMER_S:
-            first += self._build_recent_changes(now_s)
+            first += self._datagrams.build_recent_changes(now_s)
         ack = Ack(
             sequence=ping.sequence,
             sender=self.vm,
             about=self.vm,
-            updates=self._fill(first, self.vm),
+            updates=self._datagrams.fill(first, self.vm),
         )
         return [Send(address=sender_address, message=ack)]
 
@@ -305,14 +262,14 @@
     ) -> list[Send]:
         if self._view.find(request.about) is None:
             return []
-        send = self._ping(request.about, now_s)
-        self._relays[send.message.sequence] = _Relay(
+        send = self._datagrams.ping(request.about, now_s)
+        self._relays[send.message.sequence] = Relay(
             address=sender_address, sequence=request.sequence, vm=request.about, sent_s=now_s
         )
         return [send]
 
     def _answer_ack(self, ack: Ack, now_s: float) -> list[Send]:
-        sent_s = self._sent_s_by_sequence.pop(ack.sequence, None)
+        sent_s = self._datagrams.take_sent(ack.sequence)
         if sent_s is None:
             return []
         if ack.about != ack.sender:
@@ -323,7 +280,7 @@
         record = self._view.records.get(ack.about)
         if relay is None or record is None or relay.vm != ack.about:
             return []
-        updates = self._fill([build_update(record.member)], relay.vm)
+        updates = self._datagrams.fill([build_update(record.member)], relay.vm)
         answer = Ack(sequence=relay.sequence, sender=self.vm, about=relay.vm, updates=updates)
         return [Send(address=relay.address, message=answer)]
 
@@ -332,20 +289,20 @@
         if vm not in self._view.records or self.is_superseded:
             return []
         self._view.apply_suspicion(vm, now_s=now_s)
-        return [self._ping(vm, now_s)]
+        return [self._datagrams.ping(vm, now_s)]
 
     def decide_ping(self, *, vm: str, now_s: float) -> list[Send]:
         """Return a ping to `vm` outside the periods, without any suspicion."""
         if vm not in self._view.records or self.is_superseded:
             return []
-        return [self._ping(vm, now_s)]
+        return [self._datagrams.ping(vm, now_s)]
 
     def observe_link_refused(self, *, vm: str, now_s: float) -> list[Send]:
         """Suspect `vm` for a short time: its VM answered that no process listens."""
         if vm not in self._view.records or self.is_superseded:
             return []
         self._view.apply_refusal(vm, now_s=now_s)
-        return [self._ping(vm, now_s)]
+        return [self._datagrams.ping(vm, now_s)]
 
     def observe_link_up(
         self, *, vm: str, zone: str, address: str, incarnation: int, now_s: float
@@ -390,7 +347,9 @@
     def apply_leaving(self, *, now_s: float) -> list[Send]:
         """Announce the planned shutdown of this VM."""
         self._view.apply_own(replace(self._view.own, state=MemberState.LEAVING))
-        return [self._ping(vm, now_s) for vm in list(self._view.records)[:MAX_LEAVING_PINGS]]
+        return [
+            self._datagrams.ping(vm, now_s) for vm in list(self._view.records)[:MAX_LEAVING_PINGS]
+        ]
 
     def _start_or_resume(self, now_s: float, rng: Random) -> list[Send]:
         """After a start or a pause, ask some members for news and restart every timer.
@@ -405,7 +364,7 @@
         self._view.apply_resume(now_s=now_s)
         names = sorted(self._view.records)
         peers = rng.sample(names, min(FIRST_PINGS, len(names)))
-        return [self._ping(vm, now_s) for vm in peers]
+        return [self._datagrams.ping(vm, now_s) for vm in peers]
 
     def _follow_probes(self, now_s: float, rng: Random) -> list[Send]:
         sends = []
@@ -417,11 +376,11 @@
             age_periods = (now_s - probe.sent_s) / self.period_s
             if probe.is_indirect and age_periods >= INDIRECT_TIMEOUT_PERIODS:
                 self._view.apply_suspicion(probe.vm, now_s=now_s)
-                sends.append(self._ping(probe.vm, now_s))
+                sends.append(self._datagrams.ping(probe.vm, now_s))
                 continue
             if not probe.is_indirect and age_periods >= DIRECT_TIMEOUT_PERIODS:
                 probe.is_indirect = True
-                sends += self._ping_through_others(probe.vm, now_s, rng)
+                sends += self._datagrams.ping_through_others(probe.vm, now_s, rng)
             waiting.append(probe)
         self._probes = waiting
         return sends
@@ -432,7 +391,7 @@
         sends += self._check_suspects(now_s, rng)
         for name, address in list(self._contacts.items())[:MAX_CONTACTS_PER_PERIOD]:
             del self._contacts[name]
-            sends.append(self._ping_address(name, address, now_s))
+            sends.append(self._datagrams.ping_address(name, address, now_s))
         if self._periods % RECONNECT_PERIODS == 0:
             sends += self._reconnect(now_s, rng)
         self._drop_old(now_s)
@@ -451,8 +410,8 @@
         while self._round:
             vm = self._round.pop()
             if vm in records:
-                self._probes.append(_Probe(vm=vm, sent_s=now_s))
-                return [self._ping(vm, now_s, also=self._round[-1:])]
+                self._probes.append(Probe(vm=vm, sent_s=now_s))
+                return [self._datagrams.ping(vm, now_s, also=self._round[-1:])]
         return []
 
     def _check_suspects(self, now_s: float, rng: Random) -> list[Send]:
@@ -465,9 +424,9 @@
         names = [vm for vm, r in suspects.items() if r.is_checker or r.suspect_since_s <= late_s]
         if len(names) > MAX_CHECKS_PER_PERIOD:
             names = rng.sample(names, MAX_CHECKS_PER_PERIOD)
-        sends = [self._ping(vm, now_s) for vm in names]
+        sends = [self._datagrams.ping(vm, now_s) for vm in names]
         for vm in [vm for vm in names if suspects[vm].is_checker][:INDIRECT_PINGS]:
-            sends += self._ping_through_others(vm, now_s, rng)
+            sends += self._datagrams.ping_through_others(vm, now_s, rng)
         return sends
 
     def _reconnect(self, now_s: float, rng: Random) -> list[Send]:
@@ -480,92 +439,12 @@
             choices |= {item for item in self._seeds.items() if item[1] not in known}
         if not choices:
             return []
-        return [self._ping_address(*rng.choice(sorted(choices)), now_s)]
+        return [self._datagrams.ping_address(*rng.choice(sorted(choices)), now_s)]
 
     def _drop_old(self, now_s: float) -> None:
         oldest_s = now_s - 2 * self.suspicion_s - 2 * self.period_s
-        self._sent_s_by_sequence = {
-            sequence: sent_s
-            for sequence, sent_s in self._sent_s_by_sequence.items()
-            if sent_s >= oldest_s
-        }
+        self._datagrams.drop_old(oldest_s)
         self._relays = {
             seq: relay for seq, relay in self._relays.items() if relay.sent_s >= oldest_s
         }
         self._view.drop_old(now_s=now_s)
-
-    # Messages
-
-    def _ping(self, vm: str, now_s: float, also: Iterable[str] = ()) -> Send:
-        """Ping `vm`; the records of the VMs in `also` repeat what others may have missed."""
-        records = self._view.records
-        first = self._build_notice(vm, None)
-        first += [
-            build_update(records[name].member)
-            for name in also
-            if name in records and not records[name].is_listed_only
-        ]
-        address = self._view.find(vm).member.address
-        return self._build_ping(vm, address, first, now_s)
-
-    def _ping_address(self, name: str, address: str, now_s: float) -> Send:
-        """Ping a VM that may be no member; a seed has an address but no VM name."""
-        vm = "" if name.startswith(SEED_PREFIX) else name
-        return self._build_ping(vm, address, self._build_notice(vm, None), now_s)
-
-    def _build_ping(self, vm: str, address: str, first: list[MemberUpdate], now_s: float) -> Send:
-        ping = Ping(
-            sequence=self._next_sequence(now_s),
-            sender=self.vm,
-            about=vm,
-            updates=self._fill(first, vm),
-        )
-        return Send(address=address, message=ping)
-
-    def _ping_through_others(self, vm: str, now_s: float, rng: Random) -> list[Send]:
-        suspects = self._view.suspects
-        helpers = [name for name in self._view.records if name != vm and name not in suspects]
-        chosen = rng.sample(helpers, min(INDIRECT_PINGS, len(helpers)))
-        return [
-            Send(
-                address=self._view.records[helper].member.address,
-                message=PingRequest(
-                    sequence=self._next_sequence(now_s),
-                    sender=self.vm,
-                    about=vm,
-                    updates=self._fill(self._build_notice(vm, None), vm),
-                ),
-            )
-            for helper in chosen
-        ]
-
-    def _next_sequence(self, now_s: float) -> int:
-        self._sequence += 1
-        self._sent_s_by_sequence[self._sequence] = now_s
-        return self._sequence
-
-    def _fill(self, first: list[MemberUpdate], about: str) -> tuple[MemberUpdate, ...]:
-        """Return the updates of a datagram: this VM's own, `first`, then those that spread."""
-        header_bytes = MESSAGE_OVERHEAD_BYTES + len(self.vm.encode()) + len(about.encode())
-        return self._view.queue.apply_send(
-            first=[build_update(self._view.own), *first],
-            room_bytes=MAX_DATAGRAM_BYTES - header_bytes,
-            member_count=len(self._view.records) + 1,
-        )
-
-    def _build_notice(self, vm: str, claim: MemberUpdate | None) -> list[MemberUpdate]:
-        """Return what `vm` has to know about itself in order to refute it."""
-        record = self._view.find(vm)
-        if record is None:
-            return []
-        member = record.member
-        is_refutable = member.state in (MemberState.SUSPECT, MemberState.DEAD)
-        is_newer = claim is not None and member.incarnation > claim.incarnation
-        return [build_update(member)] if is_refutable or is_newer else []
-
-    def _build_recent_changes(self, now_s: float) -> list[MemberUpdate]:
-        """Return recent changes for a VM that joined or returned, the newest first."""
-        records = [*self._view.records.values(), *self._view.dead.values()]
-        recent = [record for record in records if now_s - record.changed_s <= FORGET_DEAD_S]
-        newest = heapq.nlargest(MAX_RECENT_CHANGES, recent, key=lambda record: record.changed_s)
-        return [build_update(record.member) for record in newest]
--- a/mulberryswitch/vms/_owners.py
+++ b/mulberryswitch/vms/_owners.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 import xxhash
 
 from mulberryswitch.contracts import MemberState
 
-__all__ = ["Member", "pick_owner", "pick_standbys", "rank_members"]
+__all__ = ["ListEntry", "Member", "pick_owner", "pick_standbys", "rank_members"]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -21,6 +22,15 @@
     state: MemberState
 
 
+class ListEntry(Protocol):
+    """One VM in the platform's list."""
+
+    vm: str
+    zone: str
+    address: str
+    leaving: bool
+
+
 def rank_members(*, key: str, members: Iterable[Member]) -> list[Member]:
     """Return `members` from the first rendezvous rank for `key` to the last."""
     return sorted(
