--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -210,17 +210,19 @@
         self.dark_s = now_s
         return True
 
-    def observe_report(self, *, ejection_s: float, is_dark: bool, now_s: float) -> None:
+    def observe_report(self, *, ejection_s: float, is_dark: bool, now_s: float) -> bool:
         """A peer had no answer; `ejection_s` is 0 if its zone is another one.
 
         Open flows need a silence of their own besides, since the peer's path may be at fault.
+        Returns whether the report counts; it does not if the target has answered since.
         """
         if now_s - self.lived_s <= REPORT_LAG_S:
-            return
+            return False
         self._add_proofs(DARK_OPENINGS if is_dark else 1, now_s)
         self.ejection_s = max(self.ejection_s, min(MAX_EJECTION_S, ejection_s))
         if ejection_s:
             self.ejected_until_s = max(self.ejected_until_s, now_s + self.ejection_s)
+        return True
 
     def get_silent_ds(self, now_s: float) -> int:
         """Return how long this VM has seen no answer; what peers said is not passed on."""
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -26,7 +26,7 @@
     subtract_entries,
 )
 from mulberryswitch.transport import DatagramSocket, parse_endpoint
-from mulberryswitch.vms import Membership
+from mulberryswitch.vms import Member, Membership
 
 from ._pulls import Pulls, pack_records, unpack_records
 from ._settings import Address, FrontSettings
@@ -39,6 +39,7 @@
 # Changes that fit into a datagram beside the loads are told with the announcement.
 MAX_INLINE_BYTES = 800
 ASKED_PEERS = 3
+MAX_LOGGED_NAMES = 10
 # Entries of one datagram; the busiest targets matter most.
 MAX_LOAD_ENTRIES = 100
 # Names the sum over all other zones in an announcement to the own zone.
@@ -114,6 +115,7 @@
         self._share_due_s = float("-inf")
         self._asked_s = float("-inf")
         self._was_reader = False
+        self._members: tuple[Member, ...] = ()
 
     # Decisions that others ask for
 
@@ -159,12 +161,30 @@
             await asyncio.sleep(TICK_S)
             now_s = self.clock()
             self._send_all(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+            self._log_members()
             self.feed.drop_old(self.membership.live(), now_s)
             self._announce(now_s)
             self._share(now_s)
             self._ask(now_s)
             await self.pulls.pull(members=self.membership.live(), now_s=now_s)
 
+    def _log_members(self) -> None:
+        members = self.membership.live()
+        if members is self._members:
+            return
+        former = {member.vm for member in self._members}
+        names = {member.vm for member in members}
+        self._members = members
+        if names != former:
+            log.info(
+                "members changed",
+                extra={
+                    "members": len(names),
+                    "joined": sorted(names - former)[:MAX_LOGGED_NAMES],
+                    "lost": sorted(former - names)[:MAX_LOGGED_NAMES],
+                },
+            )
+
     def observe_change(self) -> None:
         """The directory has changed: tell it without waiting for the next turn."""
         self.pulls.observe_change()
@@ -199,11 +219,21 @@
 
     def _observe_silent(self, silent: TargetSilent, now_s: float) -> None:
         is_near = silent.zone == self.settings.zone
-        self.loads.find(silent.token).health.observe_report(
+        counts = self.loads.find(silent.token).health.observe_report(
             ejection_s=silent.ejection_ms / 1000 if is_near else 0.0,
             is_dark=silent.is_dark,
             now_s=now_s,
         )
+        log.info(
+            "peer had no answer of a target",
+            extra={
+                "peer": silent.vm,
+                "token": silent.token,
+                "ejection_s": silent.ejection_ms / 1000,
+                "dark": silent.is_dark,
+                "counts": counts,
+            },
+        )
         if is_near or not self._was_reader:
             return
         relayed = replace(silent, vm=self.settings.vm, zone=self.settings.zone, ejection_ms=0)
