--- a/mulberryswitch/requests/__init__.py
+++ b/mulberryswitch/requests/__init__.py
@@ -10,7 +10,8 @@
 )
 from ._budget import RetryBudget
 from ._classes import WorkClassifier
-from ._dispatcher import Dispatcher, HeldRequest
+from ._dispatcher import Dispatcher
+from ._held import HeldRequest
 from ._pending import PendingRequests
 from ._receipts import ReceiptSigner
 from ._records import RecordState, RequestRecords
--- a/mulberryswitch/requests/_dispatcher.py
+++ b/mulberryswitch/requests/_dispatcher.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from mulberryswitch.contracts import (
     AnswerPiece,
@@ -11,15 +10,16 @@
     ResultCode,
     Target,
     TargetRequest,
-    is_refusal,
 )
 from mulberryswitch.zones import SpillPolicy
 
 from ._actions import Action, CancelAtTarget, SendToTarget
 from ._admission import Admission
+from ._attempts import MAX_WAITERS, attach_waiter
 from ._binding import Binder
 from ._budget import RetryBudget
 from ._classes import WorkClassifier
+from ._held import HeldRequest, list_held
 from ._link_wait import LinkWait
 from ._long_share import LongShare
 from ._outcomes import Outcomes
@@ -36,28 +36,14 @@
 from ._timers import DeadlineTimers
 from ._waits import WaitEstimate
 
-__all__ = ["Dispatcher", "HeldRequest"]
+__all__ = ["Dispatcher"]
 
 MAX_QUEUED = 4096
-MAX_WAITERS = 4
 MAX_SHEDS = 20
 # An unanswered run blames the target only when it had this many mean runs of its class.
 BLAME_MEANS = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class HeldRequest:
-    """One queued or running request, for operators; `since_s` is when it entered its state."""
-
-    flow: bytes
-    request_id: int
-    attempt: int
-    state: str
-    target: str
-    is_long: bool
-    since_s: float
-
-
 class Dispatcher:
     """Bind the requests of one service to free slots as late as possible.
 
@@ -271,19 +257,7 @@
 
     def held(self) -> list[HeldRequest]:
         """Return what is queued and running."""
-        return [
-            HeldRequest(
-                flow=record.key[0],
-                request_id=record.key[1],
-                attempt=record.attempt,
-                state=record.state.value,
-                target=record.target,
-                is_long=record.is_long,
-                since_s=record.started_s if record.target else record.queued_s,
-            )
-            for record in self.records
-            if record.is_open
-        ]
+        return list_held(self.records)
 
     # Admission
 
@@ -305,7 +279,7 @@
             return
         waiter = Waiter(forward, [forward.entry_vm])
         if record.is_open:
-            self._attach(record, waiter, now_s)
+            attach_waiter(record=record, waiter=waiter, signer=self.signer, outcomes=self._outcomes)
         elif record.code == ResultCode.CANCELLED and attempt <= record.attempt:
             self._observe_cancelled(record, waiter, now_s)
         elif attempt <= record.attempt:
@@ -374,24 +348,6 @@
         if state is not None and not record.is_long:
             state.pinned_short_s = now_s
 
-    def _attach(self, record: Record, waiter: Waiter, now_s: float) -> None:
-        attempt = waiter.attempt
-        if attempt < record.attempt or len(record.waiters) >= MAX_WAITERS:
-            self._outcomes.tell(record, waiter, ResultCode.NO_PROOF)
-            return
-        packet = waiter.forward.packet
-        # A skipped attempt may have run at another dispatcher.
-        follows = attempt == record.attempt + 1 and record.waiters[-1].proven
-        waiter.proven = packet.idempotent or follows or has_receipt(self.signer, waiter.forward)
-        record.attempt = attempt
-        record.last_deadline_ms = max(record.last_deadline_ms, packet.deadline_ms)
-        if record.sent_pieces and record.pieces is None:
-            self._outcomes.tell(record, waiter, ResultCode.ANSWER_NOT_KEPT)
-            return
-        if record.state is RecordState.RUNNING:
-            self._outcomes.replay(record, waiter, complete=False)
-        record.waiters.append(waiter)
-
     # Runs
 
     def _apply_queued(self, record: Record, *, front: bool = False) -> None:
@@ -500,21 +456,4 @@
         """Give every waiting attempt of `record` its outcome."""
         if queued and record.state is RecordState.QUEUED:
             self._queue.apply_removed(record)
-        if record.may_have_run and is_refusal(code):
-            # An earlier run of this request was lost, so it can't be refused as not run.
-            code = ResultCode.TARGET_LOST
-        elif not record.is_proven and is_refusal(code):
-            # An attempt before an idempotent retry may have run elsewhere.
-            code = ResultCode.NO_PROOF
-        record.code = code
-        if code == ResultCode.OK:
-            record.state = RecordState.ANSWERED
-        else:
-            record.state = RecordState.REFUSED if is_refusal(code) else RecordState.UNKNOWN
-        for waiter in record.waiters:
-            unproven = is_refusal(code) and not waiter.proven
-            self._outcomes.tell(record, waiter, ResultCode.NO_PROOF if unproven else code)
-            if unproven:
-                record.state = RecordState.UNKNOWN
-        record.waiters = []
-        self.records.apply_finished(record, now_s)
+        self._outcomes.conclude(record, code, now_s)
--- /dev/null
+++ b/mulberryswitch/requests/_held.py
@@ -0,0 +1,38 @@
+"""What a dispatcher holds, as operators see it."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ._records import Record
+
+__all__ = ["HeldRequest", "list_held"]
+
+
+@dataclass(frozen=True, slots=True)
+class HeldRequest:
+    """One queued or running request, for operators; `since_s` is when it entered its state."""
+
+    flow: bytes
+    request_id: int
+    attempt: int
+    state: str
+    target: str
+    is_long: bool
+    since_s: float
+
+
+def list_held(records: Iterable[Record]) -> list[HeldRequest]:
+    """Return the requests that are queued or running."""
+    return [
+        HeldRequest(
+            flow=record.key[0],
+            request_id=record.key[1],
+            attempt=record.attempt,
+            state=record.state.value,
+            target=record.target,
+            is_long=record.is_long,
+            since_s=record.started_s if record.target else record.queued_s,
+        )
+        for record in records
+        if record.is_open
+    ]
--- a/mulberryswitch/requests/_outcomes.py
+++ b/mulberryswitch/requests/_outcomes.py
@@ -15,7 +15,7 @@
 
 from ._actions import Action, Finish, ReplyToCaller
 from ._receipts import ReceiptSigner
-from ._records import MAX_TOLD, Record, RequestRecords, Waiter
+from ._records import MAX_TOLD, Record, RecordState, RequestRecords, Waiter
 
 __all__ = ["Outcomes", "build_outcome"]
 
@@ -66,6 +66,27 @@
         for entry_vm in waiter.entry_vms:
             self.finish(entry_vm, waiter.forward, code)
 
+    def conclude(self, record: Record, code: int, now_s: float) -> None:
+        """Give every waiting attempt of `record` its outcome."""
+        if record.may_have_run and is_refusal(code):
+            # An earlier run of this request was lost, so it can't be refused as not run.
+            code = ResultCode.TARGET_LOST
+        elif not record.is_proven and is_refusal(code):
+            # An attempt before an idempotent retry may have run elsewhere.
+            code = ResultCode.NO_PROOF
+        record.code = code
+        if code == ResultCode.OK:
+            record.state = RecordState.ANSWERED
+        else:
+            record.state = RecordState.REFUSED if is_refusal(code) else RecordState.UNKNOWN
+        for waiter in record.waiters:
+            unproven = is_refusal(code) and not waiter.proven
+            self.tell(record, waiter, ResultCode.NO_PROOF if unproven else code)
+            if unproven:
+                record.state = RecordState.UNKNOWN
+        record.waiters = []
+        self.records.apply_finished(record, now_s)
+
     def finish(self, entry_vm: str, forward: Forward, code: int) -> None:
         """Tell an entry VM that the caller knows the outcome."""
         packet = forward.packet
