Few draws and fresher loads of the own zone keep new targets from being flooded

Now three targets of a side are drawn, and the own zone's loads and those of the other zones are told on budgets of their own, so that the own zone's, which matter most, stay fresh. Test: a release in a zone of many VMs.

--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -31,8 +31,9 @@
 SHARE_LIFE_S = 1.5
 LIFE_PERIODS = 3
 SHARE_PERIOD_S = 0.3
-# Loads may take half of a node's budget for control; large zones tell them less often.
-LOAD_BYTES_PER_S = 1_000
+# Own zone, other zones and own share: each may take a quarter of a node's budget for control, so
+# large zones tell them less often.
+LOAD_BYTES_PER_S = 500
 LOAD_ENTRY_BYTES = 9
 # Age of the oldest share in a sum of the zone; answers in between are not known yet.
 PEERS_LAG_S = 0.6
--- a/mulberryswitch/forwarding/_placement.py
+++ b/mulberryswitch/forwarding/_placement.py
@@ -15,9 +15,9 @@
 # Work per slot by which a target of another zone has to be less loaded. A flow that stays in its
 # zone outlives a cut of the zone, so only a queue at home is worth leaving it.
 SPILL_MARGIN = 1.5
-# VMs that place at the same moment do not see each other's choices; looking at a sample of the
-# targets keeps them from all choosing the same one.
-SAMPLE_TARGETS = 6
+# VMs that place at the same moment do not see each other's choices. Few draws keep them from all
+# choosing the same target, such as one that has just been added and is empty.
+SAMPLE_TARGETS = 3
 
 _FLOW_KEY = struct.Struct("!IHIH")
 
--- a/mulberryswitch/forwarding/tests/test_play.py
+++ b/mulberryswitch/forwarding/tests/test_play.py
@@ -6,7 +6,9 @@
 
 import logging
 import unittest
+from unittest.mock import patch
 
+from mulberryswitch.forwarding import _placement
 from mulberryswitch.forwarding.tests.play import Load, Outcome, Play
 
 SEEDS = range(3)
@@ -118,6 +120,35 @@
         self.assertGreaterEqual(outcome.share_in_aim, BEST_IN_AIM - 0.05)
 
 
+class ReleaseTest(PlayTestCase):
+    """Guards a release in a zone of many VMs, each of which sees an empty target at once."""
+
+    LOAD = Load(
+        zones=("za",),
+        vms_per_zone=20,
+        targets=("za",) * 15,
+        slots=2,
+        queue=8,
+        feeds=400,
+        reports_per_s=60,
+        aim_s=0.55,
+    )
+
+    @staticmethod
+    def release(run: Play) -> None:
+        for number in range(5):
+            run.at(2.0 + number, lambda n=number: run.replace(f"t{n}", f"new-{n}"))
+
+    def test_callers_are_served_in_time(self):
+        self.assertGreaterEqual(play(self.LOAD, trouble=self.release).share_in_aim, BEST_IN_AIM)
+
+    def test_few_draws_flood_no_empty_target(self):
+        few = play(self.LOAD, trouble=self.release)
+        with patch.object(_placement, "SAMPLE_TARGETS", len(self.LOAD.targets)):
+            all_targets = play(self.LOAD, trouble=self.release)
+        self.assertLess(few.shed, all_targets.shed)
+
+
 class SharedLoadTest(PlayTestCase):
     """Guards the gain of telling the zone each VM's load."""
 
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -111,7 +111,7 @@
         )
         self._announced_s = float("-inf")
         self._announced_revision = 0
-        self._loads_due_s = float("-inf")
+        self._loads_due_s: dict[str, float] = {}
         self._share_due_s = float("-inf")
         self._asked_s = float("-inf")
         self._was_reader = False
@@ -272,17 +272,20 @@
             packed=self._pack_news(),
         )
 
-    def _build_loads(self, now_s: float) -> list[ZoneLoads]:
-        """Return the loads of this zone and of the others, if it is time to tell them."""
+    def _build_loads(self, now_s: float) -> dict[str, ZoneLoads]:
+        """Return the loads of this zone and of the others that it is time to tell."""
         is_teller = self.loads.has_shares or self.feed.is_load_reader(self.membership.live())
-        if now_s < self._loads_due_s or not is_teller:
-            return []
+        if not is_teller:
+            return {}
         zone = self.settings.zone
-        loads = [
-            _build_zone(zone, self.loads.build_zone(now_s)),
-            _build_zone(OTHER_ZONES, self.loads.build_rest(zone, now_s)),
-        ]
-        self._loads_due_s = now_s + get_load_period_s(sum(len(item.entries) for item in loads))
+        builders = {
+            zone: lambda: self.loads.build_zone(now_s),
+            OTHER_ZONES: lambda: self.loads.build_rest(zone, now_s),
+        }
+        due = [name for name in builders if now_s >= self._loads_due_s.get(name, 0.0)]
+        loads = {name: _build_zone(name, builders[name]()) for name in due}
+        for name, item in loads.items():
+            self._loads_due_s[name] = now_s + get_load_period_s(len(item.entries))
         return loads
 
     def _pack_news(self) -> bytes:
@@ -302,9 +305,10 @@
             return
         self._announced_s = now_s
         loads = self._build_loads(now_s)
-        near = self._build_announce(now_s, tuple(loads))
+        near = self._build_announce(now_s, tuple(loads.values()))
         # What is known of other zones stays in this one.
-        far = self._build_announce(now_s, tuple(loads[:1]))
+        own = (item for name, item in loads.items() if name != OTHER_ZONES)
+        far = self._build_announce(now_s, tuple(own))
         self._announced_revision = self.directory.revision
         for member in self.feed.list_listeners(self.membership.live()):
             self._send(member.address, near if member.zone == self.settings.zone else far)
