--- a/mulberryswitch/daemon/__init__.py
+++ b/mulberryswitch/daemon/__init__.py
@@ -1,7 +1,8 @@
 """The daemon of an entry VM."""
 
-from ._core import NodeCore, NodeIdentity, Shutdown, Tick
+from ._core import NodeCore
 from ._flow_service import FlowService
+from ._identity import NodeIdentity, Shutdown, Tick
 from ._node import Node, run_node
 from ._packet_service import PacketService
 from ._request_service import RequestService
--- a/mulberryswitch/daemon/_core.py
+++ b/mulberryswitch/daemon/_core.py
@@ -1,15 +1,12 @@
 """The decisions of one VM as a deterministic state machine: events in, effects out."""
 
-import itertools
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from random import Random
 from typing import Any
 
 from mulberryswitch.configuration import TICK_S, ConfigExchange, ConfigStore
 from mulberryswitch.contracts import (
-    Ack,
     Announce,
     ConfigAnnounce,
     ConfigDocument,
@@ -18,7 +15,6 @@
     Done,
     Forward,
     LeavingTargets,
-    MemberState,
     ShardAck,
     ShardState,
 )
@@ -39,8 +35,6 @@
     TargetRefused,
     TargetUp,
     ToFabric,
-    ToMember,
-    ToPeer,
     VmEntry,
     VmListRead,
 )
@@ -51,22 +45,24 @@
     Route,
     Router,
 )
-from mulberryswitch.vms import Membership, PauseDetector, Send, SilenceDetector
+from mulberryswitch.vms import Membership, PauseDetector, SilenceDetector
 
 from ._flow_service import FlowService
+from ._identity import NodeIdentity, Shutdown, Tick
+from ._leaving_lists import LeavingLists
 from ._packet_service import PacketService
+from ._peer_exchange import PeerExchange
 from ._request_service import RequestService
 from ._target_sessions import TargetSessions
 from ._view import View, build_effective_sheet
 
-__all__ = ["NodeCore", "NodeIdentity", "Shutdown", "Tick"]
+__all__ = ["NodeCore"]
 
 ANNOUNCE_PERIOD_S = 0.2
 LIST_PERIOD_S = 1.0
 # A VM that no peer answers reads the list as well, to find the fleet again.
 LONELY_LIST_PERIOD_S = 5.0
 LEAVING_REPEAT_S = 5.0
-LEAVING_KEEP_S = 30.0
 MEMBER_TICK_S = 0.1
 SHARD_TICK_S = 0.1
 DETACH_PERIOD_S = 5.0
@@ -74,27 +70,6 @@
 log = logging.getLogger("node")
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class NodeIdentity:
-    """Who this VM is; `address` is its peer address ``host:port``."""
-
-    vm: str
-    zone: str
-    address: str
-    incarnation: int
-    seeds: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Tick:
-    """Time has passed."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Shutdown:
-    """Hand everything over and get ready to exit."""
-
-
 class NodeCore:
     """All decisions of one VM.
 
@@ -146,6 +121,17 @@
         )
         self.pause = PauseDetector()
         self.silence = SilenceDetector()
+        self.peers = PeerExchange(
+            membership=self.membership,
+            silence=self.silence,
+            pause=self.pause,
+            rng=rng,
+            emit=self._emit,
+            observe_unsent=lambda message, now_s: self.requests.observe_unsent(message, now_s),
+            observe_link_lost=lambda vm, lost_s, now_s: (
+                self.requests.observe_link_lost(vm, lost_s, now_s)
+            ),
+        )
         self.shards = FlowShards(vm=identity.vm, zone=identity.zone)
         self.router = Router(vm=identity.vm, zone=identity.zone, shards=self.shards)
         self.sessions = TargetSessions(emit=self._emit)
@@ -166,7 +152,7 @@
             max_pending=max_pending,
             first_dispatch_id=identity.incarnation << 20,
             emit=self._emit,
-            send_peer=self._send_peer,
+            send_peer=self.peers.send,
             forward_again=self._route_again,
             count=count,
             observe_wait=observe_wait,
@@ -179,15 +165,14 @@
             flows=self.flows,
             requests=self.requests,
             emit=self._emit,
-            send_peer=self._send_peer,
+            send_peer=self.peers.send,
             may_start_work=self._may_start_work,
             count=count,
             record_hop=record_hop,
         )
         self._effects: list[Any] = []
         self._service_by_target: dict[str, str] = {}
-        self._leaving_by_sender: dict[str, tuple[float, frozenset[str]]] = {}
-        self._leaving_told: frozenset[str] = frozenset()
+        self.leaving_lists = LeavingLists()
         self._seen_sheet: tuple | None = None
         self._seen_members = -1
         self._routable: frozenset[str] = frozenset()
@@ -210,7 +195,7 @@
             case TargetFrames():
                 self._observe_frames(event, now_s)
             case MemberDatagram():
-                self._observe_datagram(event, now_s)
+                self.peers.observe_datagram(event, now_s)
             case Tick():
                 self._apply_tick(now_s)
             case _:
@@ -222,12 +207,12 @@
     def _observe_link(self, event: Any, now_s: float) -> None:
         match event:
             case PeerUp():
-                self._observe_peer_up(event, now_s)
+                self.peers.observe_up(event, now_s)
             case PeerUnsent():
                 for message in event.messages:
                     self.requests.observe_unsent(message, now_s)
             case PeerLost():
-                self._observe_peer_lost(event, now_s)
+                self.peers.observe_lost(event, now_s)
             case TargetUp():
                 if self.sessions.observe_up(event.target):
                     service = self._service_by_target.get(event.target, "")
@@ -264,8 +249,8 @@
         self.count("pauses", 1)
         self.silence.apply_resume()
         log.warning("node: process was paused, new work is held until a peer answers")
-        self._send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
-        self._send_all(self.shards.decide_tick(now_s=now_s), now_s)
+        self.peers.send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+        self.peers.send_all(self.shards.decide_tick(now_s=now_s), now_s)
         self.packets.apply_hold(
             self.requests.apply_handover(list(self.requests.dispatchers), now_s)
         )
@@ -282,64 +267,18 @@
                 self.requests.observe_declined(message, now_s)
             case ShardState():
                 sends = self.shards.observe_state(sender_vm=vm, state=message, now_s=now_s)
-                self._send_all(sends, now_s)
+                self.peers.send_all(sends, now_s)
             case ShardAck():
                 sends = self.shards.observe_ack(sender_vm=vm, ack=message, now_s=now_s)
-                self._send_all(sends, now_s)
+                self.peers.send_all(sends, now_s)
             case ConfigAnnounce() | ConfigPull() | ConfigDocument():
                 sends = self.exchange.observe_message(sender_vm=vm, message=message, now_s=now_s)
-                self._send_all(sends, now_s)
+                self.peers.send_all(sends, now_s)
             case LeavingTargets():
-                self._leaving_by_sender[vm] = (now_s, frozenset(message.names))
+                self.leaving_lists.observe(sender=vm, names=message.names, now_s=now_s)
             case _:
                 self.count("peer_messages_unknown", 1)
 
-    def _observe_peer_up(self, event: PeerUp, now_s: float) -> None:
-        known = self.membership.members.get(event.vm)
-        if known is not None:
-            self.membership.observe_link_up(
-                vm=event.vm,
-                zone=event.zone,
-                address=known.address,
-                incarnation=event.incarnation,
-                now_s=now_s,
-            )
-
-    def _observe_peer_lost(self, event: PeerLost, now_s: float) -> None:
-        if event.was_refused:
-            sends = self.membership.observe_link_refused(vm=event.vm, now_s=now_s)
-        else:
-            sends = self.membership.observe_link_lost(vm=event.vm, now_s=now_s)
-        self._send_members(sends)
-        if event.was_open:
-            self.requests.observe_link_lost(event.vm, event.lost_s, now_s)
-
-    def _send_peer(self, vm: str, message: Any, now_s: float) -> None:
-        member = self.membership.members.get(vm)
-        if member is not None and member.state is not MemberState.DEAD:
-            if isinstance(message, Forward):
-                self.silence.observe_sent(vm=vm, now_s=now_s)
-            self._emit(ToPeer(vm=vm, address=member.address, message=message))
-        else:
-            self.requests.observe_unsent(message, now_s)
-
-    def _send_all(self, sends: Sequence[Any], now_s: float) -> None:
-        for send in sends:
-            self._send_peer(send.vm, send.message, now_s)
-
-    def _send_members(self, sends: Sequence[Send] | None) -> None:
-        for send in sends or ():
-            self._emit(ToMember(address=send.address, message=send.message))
-
-    def _observe_datagram(self, event: MemberDatagram, now_s: float) -> None:
-        sends = self.membership.observe_message(
-            message=event.message, sender_address=event.sender, now_s=now_s, rng=self.rng
-        )
-        self.silence.observe_heard(vm=event.message.sender)
-        if isinstance(event.message, Ack):
-            self.pause.observe_peer_ack(now_s=now_s, sent_s=self.membership.acknowledged_s)
-        self._send_members(sends)
-
     # Targets
 
     def _observe_frames(self, event: TargetFrames, now_s: float) -> None:
@@ -365,13 +304,12 @@
         vms = [entry for entry in entries if entry.vm not in targets]
         self.membership.observe_list(entries=vms, now_s=now_s)
         names = frozenset(entry.vm for entry in entries if entry.leaving and entry.vm in targets)
-        self._leaving_by_sender[self.view.vm] = (now_s, names)
-        if names != self._leaving_told or self._is_due("leaving", LEAVING_REPEAT_S, now_s):
-            self._leaving_told = names
+        is_news = self.leaving_lists.observe(sender=self.view.vm, names=names, now_s=now_s)
+        if is_news or self._is_due("leaving", LEAVING_REPEAT_S, now_s):
             message = LeavingTargets(names=tuple(sorted(names)))
             for member in self.view.members:
                 if member.vm != self.view.vm and member.zone == self.view.zone:
-                    self._send_peer(member.vm, message, now_s)
+                    self.peers.send(member.vm, message, now_s)
 
     # Time
 
@@ -385,13 +323,13 @@
         if not self._due_s:
             self.membership.observe_seeds(addresses=self.identity.seeds, now_s=now_s)
         if self._is_due("members", MEMBER_TICK_S, now_s):
-            self._send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+            self.peers.send_members(self.membership.decide_tick(now_s=now_s, rng=self.rng))
         for vm in self.silence.decide_asks(now_s=now_s):
-            self._send_members(self.membership.decide_ping(vm=vm, now_s=now_s))
+            self.peers.send_members(self.membership.decide_ping(vm=vm, now_s=now_s))
         if self._is_due("shards", SHARD_TICK_S, now_s):
-            self._send_all(self.shards.decide_tick(now_s=now_s), now_s)
+            self.peers.send_all(self.shards.decide_tick(now_s=now_s), now_s)
         if self._is_due("configuration", TICK_S, now_s):
-            self._send_all(self.exchange.decide_tick(now_s=now_s, rng=self.rng), now_s)
+            self.peers.send_all(self.exchange.decide_tick(now_s=now_s, rng=self.rng), now_s)
             self._read_platform(now_s)
         if self._is_due("announce", ANNOUNCE_PERIOD_S, now_s):
             self._announce()
@@ -450,7 +388,7 @@
         if members_changed:
             self._seen_members = self.membership.version
             self._observe_members(now_s)
-        leaving = self._list_leaving(now_s)
+        leaving = self.leaving_lists.list_names(now_s)
         seen = (id(self.store.sheet), leaving)
         sheet_changed = self.store.sheet is not None and seen != self._seen_sheet
         if sheet_changed:
@@ -459,12 +397,6 @@
         if members_changed or sheet_changed:
             self._yield_queues(now_s)
 
-    def _list_leaving(self, now_s: float) -> frozenset[str]:
-        known = self._leaving_by_sender
-        for vm in [vm for vm, (seen_s, _) in known.items() if now_s - seen_s > LEAVING_KEEP_S]:
-            del known[vm]
-        return frozenset(itertools.chain.from_iterable(names for _, names in known.values()))
-
     def _observe_members(self, now_s: float) -> None:
         self.view.members = self.membership.live()
         self.view.members_version += 1
@@ -476,7 +408,7 @@
         self._routable = routable
         self.exchange.observe_members(members=self.membership.routable(), now_s=now_s)
         sends = self.shards.observe_members(live_members=self.view.members, now_s=now_s)
-        self._send_all(sends, now_s)
+        self.peers.send_all(sends, now_s)
 
     def _observe_sheet(self, leaving: frozenset[str], now_s: float) -> None:
         sheet = build_effective_sheet(self.store.sheet, leaving)
@@ -496,7 +428,7 @@
     def _pass_sheet_to_shards(self, now_s: float) -> None:
         if self.view.sheet is not None:
             sheet = build_effective_sheet(self.view.sheet, self._unreachable)
-            self._send_all(self.shards.observe_sheet(sheet=sheet, now_s=now_s), now_s)
+            self.peers.send_all(self.shards.observe_sheet(sheet=sheet, now_s=now_s), now_s)
 
     def _yield_queues(self, now_s: float) -> None:
         """Pass on the queues of services that another VM dispatches now."""
@@ -521,8 +453,8 @@
         self.is_leaving = True
         log.info("node: shutdown started")
         self._announce()
-        self._send_members(self.membership.apply_leaving(now_s=now_s))
-        self._send_all(self.shards.decide_handover(now_s=now_s), now_s)
+        self.peers.send_members(self.membership.apply_leaving(now_s=now_s))
+        self.peers.send_all(self.shards.decide_handover(now_s=now_s), now_s)
 
     def is_drained(self, now_s: float) -> bool:
         """Return whether nothing is left that an exit would cut."""
--- a/mulberryswitch/daemon/_node.py
+++ b/mulberryswitch/daemon/_node.py
@@ -32,7 +32,8 @@
 )
 from mulberryswitch.observability import Metrics, build_hop_recorder
 
-from ._core import NodeCore, NodeIdentity, Shutdown, Tick
+from ._core import NodeCore
+from ._identity import NodeIdentity, Shutdown, Tick
 from ._status import build_explanation, build_gauges, build_holds, build_status
 
 __all__ = ["Node", "run_node"]
