--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,15 +3,14 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
 
+from ._datagrams import DatagramAddress
 from ._layout import PACKET_PORT
-from ._records import Answer, Outcome, Records, Reset
+from ._records import Answer, Context, Outcome, Reset
 from ._router import Router
-from ._targets import _Protocol
 from ._wire import ACK, FIN, RST, SYN, FlowId, Segment, decode, encode
 
 __all__ = ["Caller", "RequestKind"]
@@ -61,10 +60,7 @@
     ----------
     host, zone : str
     router : Router
-    records : Records
-    sent_at : dict
-        Filled with the time of each opening, for the targets' records.
-    clock : callable
+    context : Context
     rng : Random
     """
 
@@ -74,35 +70,28 @@
         host: str,
         zone: str,
         router: Router,
-        records: Records,
-        sent_at: dict[FlowId, float],
-        vm_by_host: dict[str, str],
-        clock: Callable[[], float],
+        context: Context,
         rng: Random,
     ):
         self.host = host
         self.zone = zone
         self.router = router
-        self.records = records
-        self.sent_at = sent_at
-        self.vm_by_host = vm_by_host
-        self.clock = clock
+        self.context = context
+        self.records = context.records
+        self.clock = context.clock
         self.rng = rng
         self._flows: dict[int, _Flow] = {}
         self._ports = itertools.count(1024)
         self._requests = itertools.count(1)
-        self._transport: asyncio.DatagramTransport | None = None
+        self._address = DatagramAddress(receive=self._receive)
 
     async def start(self) -> None:
         """Bind the address."""
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Protocol(self._receive), local_addr=(self.host, PACKET_PORT)
-        )
+        await self._address.start(self.host, PACKET_PORT)
 
     def stop(self) -> None:
         """Close the socket."""
-        self._transport.close()
+        self._address.stop()
 
     # Load
 
@@ -174,7 +163,7 @@
         )
         send = send or (lambda _, data: self.router.send(flow.id, self.zone, data))
         self._flows[flow.id.caller_port] = flow
-        self.sent_at[flow.id] = flow.opened_s
+        self.context.sent_at[flow.id] = flow.opened_s
         for copies, wait_s in enumerate(COPY_AFTER_S):
             send(flow, self._encode(flow, Segment(SYN, 0, flow.sequence, copies, b"")))
             segment = await self._wait(flow, wait_s)
@@ -243,8 +232,8 @@
         flow = self._flows.get(destination[1])
         if flow is None or source != (flow.id.route, flow.id.route_port):
             return
-        if segment.flags & RST and sender[0] in self.vm_by_host:
-            self._observe_system_reset(flow, self.vm_by_host[sender[0]])
+        if segment.flags & RST and sender[0] in self.context.vm_by_host:
+            self._observe_system_reset(flow, self.context.vm_by_host[sender[0]])
         elif not segment.is_sealed:
             self.records.violations.append(f"{sender[0]} sent {flow.id} changed bytes")
             return
--- a/soak/_injector.py
+++ b/soak/_injector.py
@@ -9,7 +9,7 @@
 from ._faults import Fault, FaultKind
 from ._layout import GRACE_S
 from ._processes import VmProcesses
-from ._records import Records, Subject
+from ._records import Context, Subject
 from ._relay import LinkTrouble, Relay
 from ._targets import Target, TargetState
 from ._world import FEEDS, SCANS, World
@@ -38,8 +38,7 @@
     world : World
     processes : VmProcesses
     relay : Relay
-    records : Records
-    clock : callable
+    context : Context
     """
 
     def __init__(
@@ -48,14 +47,13 @@
         world: World,
         processes: VmProcesses,
         relay: Relay,
-        records: Records,
-        clock: Callable[[], float],
+        context: Context,
     ):
         self.world = world
         self.processes = processes
         self.relay = relay
-        self.records = records
-        self.clock = clock
+        self.records = context.records
+        self.clock = context.clock
         self._store_troubles = 0
         self._links = {
             FaultKind.LINK_RESET: LinkTrouble.RESET,
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -5,11 +5,10 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Callable
 from pathlib import Path
 
 from ._layout import GRACE_S, Layout, VmPlace
-from ._records import Records
+from ._records import Context
 
 __all__ = ["VmProcesses"]
 
@@ -25,15 +24,13 @@
     Parameters
     ----------
     layout : Layout
-    records : Records
-    clock : callable
-        Returns seconds since the start of the run.
+    context : Context
     """
 
-    def __init__(self, *, layout: Layout, records: Records, clock: Callable[[], float]):
+    def __init__(self, *, layout: Layout, context: Context):
         self.layout = layout
-        self.records = records
-        self.clock = clock
+        self.records = context.records
+        self.clock = context.clock
         self.places: dict[str, VmPlace] = {}
         self._processes: dict[str, subprocess.Popen] = {}
         self._expected_ends: set[int] = set()
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -1,12 +1,13 @@
 """What callers, targets and the supervisor of the VMs saw during a run."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
 from ._wire import FlowId
 
-__all__ = ["Answer", "Opening", "Outcome", "Records", "Reset", "Run", "Subject"]
+__all__ = ["Answer", "Context", "Opening", "Outcome", "Records", "Reset", "Run", "Subject"]
 
 
 class Subject(Enum):
@@ -112,3 +113,24 @@
         return not any(
             start_s <= until_s and end_s >= since_s for start_s, end_s in self.disturbed[subject]
         )
+
+
+@dataclass(frozen=True, kw_only=True)
+class Context:
+    """What all stand-ins of a run share.
+
+    Attributes
+    ----------
+    records : Records
+    clock : callable
+        Returns seconds since the start of the run.
+    vm_by_host : dict
+        VM names by their addresses.
+    sent_at : dict
+        When the caller first sent the opening of a flow.
+    """
+
+    records: Records
+    clock: Callable[[], float]
+    vm_by_host: dict[str, str]
+    sent_at: dict[FlowId, float] = field(default_factory=dict)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,10 +15,9 @@
 from ._judge import RECOVERY_S, Finding, judge
 from ._layout import ZONES, Layout
 from ._processes import VmProcesses
-from ._records import Outcome, Records
+from ._records import Context, Outcome, Records
 from ._relay import Relay
 from ._router import Router
-from ._wire import FlowId
 from ._world import World
 
 __all__ = ["SoakResult", "run_soak"]
@@ -47,33 +46,24 @@
 
     def __init__(self, *, seed: int, folder: Path, vms: int):
         start_s = time.monotonic()
-        self.clock = lambda: time.monotonic() - start_s
         self.rng = Random(seed)
-        self.records = Records()
         self.layout = Layout(block=seed, folder=folder)
         self.places = self.layout.list_vms(vms)
+        self.context = Context(
+            records=Records(),
+            clock=lambda: time.monotonic() - start_s,
+            vm_by_host={place.host: place.vm for place in self.places},
+        )
         self.store = StoreStandIn()
-        self.processes = VmProcesses(layout=self.layout, records=self.records, clock=self.clock)
+        self.processes = VmProcesses(layout=self.layout, context=self.context)
         self.router = Router(places=self.places)
-        self.sent_at: dict[FlowId, float] = {}
-        self.vm_by_host = {place.host: place.vm for place in self.places}
-        self.world = World(
-            store=self.store,
-            layout=self.layout,
-            records=self.records,
-            sent_at=self.sent_at,
-            vm_by_host=self.vm_by_host,
-            clock=self.clock,
-        )
+        self.world = World(store=self.store, layout=self.layout, context=self.context)
         self.callers = [
             Caller(
                 host=self.layout.get_caller_host(number),
                 zone=ZONES[number % len(ZONES)],
                 router=self.router,
-                records=self.records,
-                sent_at=self.sent_at,
-                vm_by_host=self.vm_by_host,
-                clock=self.clock,
+                context=self.context,
                 rng=Random(seed * 1_000 + number),
             )
             for number in range(CALLERS)
@@ -99,17 +89,20 @@
             while any(self.router.misses.values()):  # noqa: ASYNC110 - counts have no event
                 await asyncio.sleep(0.1)
 
+    def note(self, violation: str) -> None:
+        """Add what is wrong at first sight."""
+        self.context.records.violations.append(violation)
+
     async def inject(self, faults: tuple[Fault, ...], relay: Relay) -> None:
         """Carry out the faults and leave time for the recovery and a calm end."""
         injector = Injector(
             world=self.world,
             processes=self.processes,
             relay=relay,
-            records=self.records,
-            clock=self.clock,
+            context=self.context,
         )
         await injector.run(faults)
-        self.records.faults_end_s = self.clock()
+        self.context.records.faults_end_s = self.context.clock()
         await asyncio.sleep(RECOVERY_S + CALM_S)
 
     async def put_load(self) -> None:
@@ -167,7 +160,9 @@
         await run.inject(faults, relay)
         _check_tasks(tasks)
     except TimeoutError:
-        run.records.violations.append(f"not all VMs serve {START_TIMEOUT_S} s after their start")
+        run.context.records.violations.append(
+            f"not all VMs serve {START_TIMEOUT_S} s after their start"
+        )
     finally:
         for task in tasks:
             task.cancel()
@@ -179,13 +174,13 @@
             caller.stop()
         run.world.stop()
         await run.store.stop()
-    answers = run.records.answers
+    answers = run.context.records.answers
     return SoakResult(
         seed=seed,
         asked=len(answers),
         answered=sum(answer.outcome is Outcome.ANSWERED for answer in answers),
         faults=faults,
-        findings=judge(run.records),
+        findings=judge(run.context.records),
     )
 
 
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -1,14 +1,12 @@
 """Targets that take flows by the published protocol and note what reaches them."""
 
 import asyncio
-import contextlib
-import socket
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
+from ._datagrams import DatagramAddress
 from ._layout import PACKET_PORT
-from ._records import Opening, Records, Run
+from ._records import Context, Opening, Run
 from ._wire import ACK, FIN, RST, SYN, FlowId, Segment, decode, encode
 
 __all__ = ["Target", "TargetState"]
@@ -47,12 +45,7 @@
     host : str
     port : int
     service, zone : str
-    records : Records
-    sent_at : dict
-        When the caller last sent the opening of a flow.
-    vm_by_host : dict
-        VM names by their addresses.
-    clock : callable
+    context : Context
     """
 
     def __init__(
@@ -63,33 +56,24 @@
         port: int,
         service: str,
         zone: str,
-        records: Records,
-        sent_at: dict[FlowId, float],
-        vm_by_host: dict[str, str],
-        clock: Callable[[], float],
+        context: Context,
     ):
         self.name = name
         self.host = host
         self.port = port
         self.service = service
         self.zone = zone
-        self.records = records
-        self.sent_at = sent_at
-        self.vm_by_host = vm_by_host
-        self.clock = clock
+        self.context = context
         self.state = TargetState.SERVING
         self.is_draining = False
         self._flows: dict[FlowId, _Flow] = {}
-        self._transport: asyncio.DatagramTransport | None = None
+        self._address = DatagramAddress(receive=self._receive)
         self._slots = asyncio.Semaphore(SLOTS)
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Bind the address."""
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Protocol(self._receive), local_addr=(self.host, self.port)
-        )
+        await self._address.start(self.host, self.port)
 
     def end(self) -> None:
         """The process is gone and its flows with it; its machine resets what still comes."""
@@ -101,8 +85,7 @@
         self.end()
         for task in self._tasks:
             task.cancel()
-        if self._transport is not None:
-            self._transport.close()
+        self._address.stop()
 
     def build_record(self) -> dict:
         """Return what the target says of itself in the store."""
@@ -123,9 +106,9 @@
             return
         source, destination, segment = decode(data[IDENTITY_BYTES:])
         flow = FlowId(*source, *destination)
-        vm = self.vm_by_host.get(sender[0], sender[0])
+        vm = self.context.vm_by_host.get(sender[0], sender[0])
         if not segment.is_sealed:
-            self.records.violations.append(f"{vm} sent {self.name} changed bytes of {flow}")
+            self.context.records.violations.append(f"{vm} sent {self.name} changed bytes of {flow}")
             return
         if self.state is TargetState.ENDED:
             self._send(flow, Segment(RST, segment.token, 0, 0, b""))
@@ -135,11 +118,11 @@
             self._observe_segment(flow, segment)
 
     def _observe_opening(self, flow: FlowId, segment: Segment, vm: str) -> None:
-        now_s = self.clock()
-        self.records.openings.append(
+        now_s = self.context.clock()
+        self.context.records.openings.append(
             Opening(
                 at_s=now_s,
-                sent_s=self.sent_at.get(flow, now_s),
+                sent_s=self.context.sent_at.get(flow, now_s),
                 flow=flow,
                 target=self.name,
                 service=self.service,
@@ -177,9 +160,9 @@
             if self.state is not TargetState.SERVING or self._flows.get(flow) is not known:
                 return
             request = segment.payload.decode()
-            self.records.runs.append(
+            self.context.records.runs.append(
                 Run(
-                    at_s=self.clock(),
+                    at_s=self.context.clock(),
                     request=request,
                     flow=flow,
                     target=self.name,
@@ -198,21 +181,4 @@
 
     def _send(self, flow: FlowId, segment: Segment) -> None:
         data = encode((flow.route, flow.route_port), (flow.caller, flow.caller_port), segment)
-        with contextlib.suppress(OSError):
-            self._transport.sendto(data, (flow.caller, PACKET_PORT))
-
-
-class _Protocol(asyncio.DatagramProtocol):
-    """Hands datagrams to a function."""
-
-    def __init__(self, receive: Callable[[bytes, tuple[str, int]], None]):
-        self.receive = receive
-
-    def connection_made(self, transport) -> None:
-        """Enlarge the buffer, since one loop serves all stand-ins."""
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
-
-    def datagram_received(self, data: bytes, addr) -> None:
-        """Hand a datagram over."""
-        self.receive(data, addr)
+        self._address.send(data, (flow.caller, PACKET_PORT))
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from standins.store import StoreStandIn
 
 from ._layout import ZONES, Layout
-from ._records import Records
+from ._records import Context
 from ._targets import Target, TargetState
-from ._wire import FlowId
 
 __all__ = ["Routes", "World"]
 
@@ -43,10 +41,7 @@
     ----------
     store : StoreStandIn
     layout : Layout
-    records : Records
-    sent_at : dict
-    vm_by_host : dict
-    clock : callable
+    context : Context
     """
 
     def __init__(
@@ -54,17 +49,13 @@
         *,
         store: StoreStandIn,
         layout: Layout,
-        records: Records,
-        sent_at: dict[FlowId, float],
-        vm_by_host: dict[str, str],
-        clock: Callable[[], float],
+        context: Context,
     ):
         self.store = store
         self.layout = layout
-        self.records = records
-        self.sent_at = sent_at
-        self.vm_by_host = vm_by_host
-        self.clock = clock
+        self.context = context
+        self.records = context.records
+        self.clock = context.clock
         self.routes = Routes()
         self.targets: list[Target] = []
         self._retired: list[Target] = []
@@ -157,10 +148,7 @@
             port=port,
             service=service,
             zone=ZONES[number % len(ZONES)],
-            records=self.records,
-            sent_at=self.sent_at,
-            vm_by_host=self.vm_by_host,
-            clock=self.clock,
+            context=self.context,
         )
         await target.start()
         self.targets.append(target)
