--- a/mulberryswitch/directory/tests/test_feed.py
+++ b/mulberryswitch/directory/tests/test_feed.py
@@ -53,6 +53,23 @@
         reading = [self.is_reader(rank, now_s=1.2, sources=sources) for rank in range(10)]
         self.assertEqual(reading, [True, True] + [False] * 8)
 
+    def test_loads_go_to_the_first_reader_that_was_heard(self):
+        """Loads that are told to two readers cost twice; to a silent one they are lost."""
+        feed = Feed(vm=self.ranked[9], zone="z0")
+        for rank, heard_s in ((1, 9.9), (0, 9.8)):
+            feed.observe_announce(build_source(self.ranked[rank], heard_s=heard_s))
+        self.assertEqual(feed.pick_load_reader(self.members, 10.0).vm, self.ranked[0])
+        feed.observe_announce(build_source(self.ranked[1], heard_s=13.0))
+        self.assertEqual(feed.pick_load_reader(self.members, 13.0).vm, self.ranked[1])
+        self.assertIsNone(feed.pick_load_reader(self.members, 20.0))
+
+    def test_ranks_follow_the_members(self):
+        """Ranks are kept between changes of the members, and no longer."""
+        feed = Feed(vm=self.ranked[1], zone="z0")
+        self.assertFalse(feed.is_load_reader(self.members))
+        left = [member for member in self.members if member.vm != self.ranked[0]]
+        self.assertTrue(feed.is_load_reader(left))
+
     def test_a_vm_that_knows_nothing_reads(self):
         self.assertTrue(self.is_reader(9, now_s=0.1, revision=0))
 
--- a/mulberryswitch/front/tests/test_front.py
+++ b/mulberryswitch/front/tests/test_front.py
@@ -216,6 +216,25 @@
         finally:
             await refused.stop()
 
+    async def test_vms_hear_of_each_others_flows_and_of_signs_of_life(self):
+        """A VM must not reset a flow for a target that answers others, nor place blindly."""
+        async with RunningFront(self.settings) as first:
+            settings = build_settings(
+                self.store.port, number=2, seeds=(self.settings.peer_address,)
+            )
+            async with RunningFront(settings) as second:
+                await wait_until(lambda: first.is_ready and second.is_ready)
+                await wait_until(lambda: len(second.peers.membership.live()) == 2)
+                self.send(build_opening())
+                await wait_until(lambda: self.received)
+                token = int.from_bytes(self.received[0][8:12], "big")
+                self.send(build_bytes(token=token))
+                loads = second.forwarder.loads
+                await wait_until(lambda: loads.list_shared(token, second.clock()))
+                self.assertEqual(loads.list_shared(token, second.clock())[0].long_flows, 1)
+                self.assertGreater(loads.find(token).health.lived_s, 0.0)
+                self.assertTrue(loads.has_peers)
+
     async def test_a_stranger_learns_nothing(self):
         async with RunningFront(self.settings) as first:
             await wait_until(lambda: first.is_ready)
