Reset flows of dark targets with the second repetition again, and count a proof once

Second, both readers of a zone relayed a proof to everyone, so one lost opening passed for two or three in other zones. Now the zone has to be silent for 0.6 s as heard 0.2 s after the request, and one reader relays to those that have not heard. Ruled out: late proofs (there were two within 0.3 s).

--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -35,8 +35,11 @@
 # large zones tell them less often.
 LOAD_BYTES_PER_S = 500
 LOAD_ENTRY_BYTES = 9
-# Age of the oldest share in a sum of the zone; answers in between are not known yet.
-PEERS_LAG_S = 0.6
+# What peers say about a request has to be heard at least so long after it was sent.
+PEERS_LAG_S = 0.2
+# Silence to all VMs of the zone that tells a dark target from one that lives; a sum of the zone is
+# up to 0.3 s old, and a target at work answers somebody several times in the rest.
+ZONE_SILENCE_S = 0.6
 SILENT_STEP_S = 0.1
 
 
@@ -101,7 +104,7 @@
     answered_s : float
         When a caller last acknowledged something of the target at this VM.
     heard_s : float
-        The same at the other VMs of this zone, as they last said.
+        The same at the other VMs, as they last said.
     ejection_s : float
         Length of the present ejection; it doubles with each failure until the next answer.
     ejected_until_s : float
@@ -206,7 +209,7 @@
         """
         if self.lived_s >= since_s or self.count_proofs(now_s) < DARK_OPENINGS:
             return False
-        if checked_s < since_s + PEERS_LAG_S:
+        if checked_s < since_s + PEERS_LAG_S or checked_s - self.heard_s < ZONE_SILENCE_S:
             return False
         self.dark_s = now_s
         return True
@@ -311,7 +314,7 @@
 
     def get_checked_s(self, now_s: float) -> float:
         """Return when the peers of this zone last said which targets answer them."""
-        return self._checked_s if self.has_peers else now_s + PEERS_LAG_S
+        return self._checked_s if self.has_peers else float("inf")
 
     @property
     def has_shares(self) -> bool:
--- a/mulberryswitch/forwarding/tests/test_forwarder.py
+++ b/mulberryswitch/forwarding/tests/test_forwarder.py
@@ -309,6 +309,23 @@
         self.hear_of_peers(silent_ds=9, now_s=0.8)
         self.assertIsInstance(self.request(0.9)[0], Reset)
 
+    def test_a_flow_is_reset_at_the_second_repetition(self):
+        """Some callers wait for a second only; a later reset would come after they gave up."""
+        self.start()
+        self.request(0.1)
+        self.request(0.3)
+        self.fail_openings(0.2, 2)
+        self.hear_of_peers(silent_ds=6, now_s=0.55)
+        self.assertIsInstance(self.request(0.7)[0], Reset)
+
+    def test_a_short_silence_to_peers_is_no_evidence(self):
+        """Sums of the zone are a little old, and a target that lives may be between two answers."""
+        self.start()
+        self.request(0.1)
+        self.fail_openings(0.2, 2)
+        self.hear_of_peers(silent_ds=4, now_s=0.45)
+        self.assertIsInstance(self.request(0.7)[0], Forward)
+
     def test_no_word_of_peers_is_no_word_against_the_target(self):
         self.start()
         self.hear_of_peers(silent_ds=9, now_s=0.05)
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -26,7 +26,7 @@
     subtract_entries,
 )
 from mulberryswitch.transport import DatagramSocket, parse_endpoint
-from mulberryswitch.vms import Member, Membership
+from mulberryswitch.vms import Member, Membership, pick_readers
 
 from ._pulls import Pulls, pack_records, unpack_records
 from ._settings import Address, FrontSettings
@@ -234,10 +234,15 @@
                 "counts": counts,
             },
         )
-        if is_near or not self._was_reader:
+        members = self.membership.live()
+        if is_near or not self.feed.is_load_reader(members):
             return
+        # Both readers heard the sender; a VM that is told twice would take one proof for two.
+        told = {reader.vm for reader in pick_readers(zone=self.settings.zone, members=members)}
         relayed = replace(silent, vm=self.settings.vm, zone=self.settings.zone, ejection_ms=0)
-        self._send_near(relayed)
+        for member in members:
+            if member.zone == self.settings.zone and member.vm not in told:
+                self._send(member.address, relayed)
 
     def leave(self) -> None:
         """Tell the others that this VM stops."""
--- a/mulberryswitch/front/tests/test_front.py
+++ b/mulberryswitch/front/tests/test_front.py
@@ -5,7 +5,11 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from random import Random
+from unittest.mock import patch
 
+from mulberryswitch.contracts import MemberState, TargetSilent
+from mulberryswitch.front import Front
 from mulberryswitch.front._node import _watch_settings
 from mulberryswitch.front.tests.builders import (
     CALLER_HOST,
@@ -20,8 +24,10 @@
     start_store,
     wait_until,
 )
+from mulberryswitch.platform import ADAPTER
 from mulberryswitch.platform.tests.test_settings import TEXT
 from mulberryswitch.transport import HttpClient
+from mulberryswitch.vms import Member, rank_readers
 from standins.store import Trouble
 
 
@@ -247,6 +253,42 @@
             await other.stop()
 
 
+class RelayTest(unittest.TestCase):
+    """Guards targets against one lost opening that passes for several."""
+
+    def relay(self, rank: int) -> tuple[list[str], list[str]]:
+        """Return whom a VM of this rank tells of a silent target elsewhere, and all but readers."""
+        members = tuple(
+            Member(
+                vm=f"front-{number}",
+                zone="za",
+                address=f"127.0.0.1:{number}",
+                incarnation=1,
+                state=MemberState.ALIVE,
+            )
+            for number in range(4)
+        )
+        ranked = rank_readers(zone="za", members=members)
+        settings = replace(build_settings(9), vm=ranked[rank].vm)
+        peers = Front(settings=settings, adapter=ADAPTER, rng=Random(1)).peers
+        told = []
+        with (
+            patch.object(peers.membership, "live", lambda: members),
+            patch.object(peers, "_send", lambda address, message: told.append(address)),
+        ):
+            silent = TargetSilent(
+                fleet=peers.fleet, vm="other", zone="zb", token=1, ejection_ms=500, is_dark=False
+            )
+            peers._observe_silent(silent, 1.0)
+        return sorted(told), sorted(member.address for member in ranked[2:])
+
+    def test_each_vm_of_another_zone_hears_of_a_proof_once(self):
+        told, others = self.relay(0)
+        self.assertEqual(told, others)
+        for rank in (1, 2, 3):
+            self.assertEqual(self.relay(rank)[0], [])
+
+
 class StopTest(FrontTestCase):
     """Guards flows through a VM that is asked to stop."""
 
