--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,8 @@
 
 import click
 
+from standins._run import catch_termination
+
 from ._run import VMS, run_soak
 
 CASES = Path(__file__).parent / "cases.txt"
@@ -35,6 +37,8 @@
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for the logs of failures.")
 def main(seeds, fresh, length_s, vms, jobs, keep) -> None:
     """Run seeds and print one line for each; exit with 1 if any broke a promise."""
+    # The VMs of a soak that is asked to stop must not outlive it.
+    catch_termination()
     numbers = _parse_seeds(seeds) if seeds else read_cases()
     now = int(time.time())
     numbers += [now * 100 + n for n in range(fresh)]
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -108,7 +108,6 @@
     def stop(self) -> None:
         """End all VMs."""
         for process in self._processes.values():
-            self._expected_ends.add(process.pid)
             process.kill()
         for process in self._processes.values():
             process.wait(END_TIMEOUT_S)
