--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -139,6 +139,10 @@
     def apply_snapshot(self, *, records: Sequence[Record], revision: int, now_s: float) -> bool:
         """Replace the content by a full snapshot of the store, unless the snapshot is older."""
         if revision < self.revision:
+            log.warning(
+                "older snapshot discarded",
+                extra={"revision": revision, "replica_revision": self.revision},
+            )
             return False
         missing = self._records.keys() - {record.key for record in records}
         deleted = [
@@ -153,6 +157,15 @@
     def _apply_record(self, record: Record, now_s: float) -> bool:
         known = self._records.get(record.key)
         if known is not None and known.revision >= record.revision:
+            if record.value != known.value:
+                log.warning(
+                    "record with other content discarded",
+                    extra={
+                        "key": record.key,
+                        "revision": record.revision,
+                        "known_revision": known.revision,
+                    },
+                )
             return False
         if known is None and record.value is None:
             return False
--- a/mulberryswitch/front/_settings.py
+++ b/mulberryswitch/front/_settings.py
@@ -28,7 +28,17 @@
 
 
 class HistoryLostError(StoreError):
-    """The store no longer keeps the changes after the requested revision."""
+    """The store no longer keeps the changes after the requested revision.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the store that answered.
+    """
+
+    def __init__(self, message: str, *, epoch: int):
+        super().__init__(message)
+        self.epoch = epoch
 
 
 class Address(NamedTuple):
@@ -71,6 +81,7 @@
 
     records: list[Record]
     revision: int
+    epoch: int
 
 
 class Store(Protocol):
--- a/mulberryswitch/front/_store_reader.py
+++ b/mulberryswitch/front/_store_reader.py
@@ -74,10 +74,10 @@
             self.count("store_reads", 1)
             try:
                 await self._read(step)
-            except HistoryLostError:
+            except HistoryLostError as exc:
                 log.warning(
                     "store no longer keeps the requested changes, reading all records",
-                    extra={"after": self.directory.revision},
+                    extra={"after": self.directory.revision, "epoch": exc.epoch},
                 )
                 self.planner.observe_history_lost()
             except StoreError as exc:
@@ -95,6 +95,17 @@
         if self.planner.failures:
             log.info("store is reachable again", extra={"failures": self.planner.failures})
         results = [result for result in (snapshot, changes) if result is not None]
+        for result in results:
+            log.info(
+                "store answered",
+                extra={
+                    "read": "all" if result is snapshot else "changes",
+                    "epoch": result.epoch,
+                    "revision": result.revision,
+                    "records": len(result.records),
+                    "replica_revision": self.directory.revision,
+                },
+            )
         size_bytes = sum(len(r.value or b"x") for result in results for r in result.records)
         self.planner.observe_success(size_bytes=size_bytes, now_s=now_s)
         self._apply(snapshot, changes, now_s)
--- a/mulberryswitch/platform/_store.py
+++ b/mulberryswitch/platform/_store.py
@@ -21,14 +21,21 @@
 WATCH_MARGIN_S = 0.8
 HTTP_OK = 200
 HTTP_GONE = 410
+# Names of response headers are compared in lower case.
+EPOCH_HEADER = "store-era"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreReadResult:
-    """Records that a read returned, and the store revision up to which they are complete."""
+    """Records that a read returned, and the store revision up to which they are complete.
+
+    `epoch` rises when the store is restored from an older copy, so that its revisions start again
+    below those that it had given out.
+    """
 
     records: list[Record]
     revision: int
+    epoch: int = 0
 
 
 class _Item(msgspec.Struct, rename="camel"):
@@ -86,7 +93,7 @@
             If the store cannot be reached, or its answer is invalid or incomplete.
         """
         items: list[_Item] = []
-        first_revision = None
+        first_revision = first_epoch = None
         after = None
         for _ in range(MAX_PAGES):
             query = {"prefix": ""}
@@ -94,13 +101,15 @@
                 query["serializable"] = "1"
             if after is not None:
                 query["after"] = after
-            page = await self._read("/-/kv-range", query, READ_TIMEOUT_S, _decode_page)
+            page, epoch = await self._read("/-/kv-range", query, READ_TIMEOUT_S, _decode_page)
             self._check_page(page, after)
             if first_revision is None:
-                first_revision = page.store_revision
+                first_revision, first_epoch = page.store_revision, epoch
             items += page.items
             if not page.truncated:
-                return StoreReadResult(records=_build_records(items), revision=first_revision)
+                return StoreReadResult(
+                    records=_build_records(items), revision=first_revision, epoch=first_epoch
+                )
             after = page.items[-1].key
         # A partial result would count as the deletion of all other keys.
         raise StoreError(f"the store has more than {MAX_PAGES} pages of items")
@@ -123,12 +132,14 @@
             If the store cannot be reached or its answer is invalid.
         """
         query = {"prefix": "", "after": str(after), "waitMs": str(int(wait_s * 1000))}
-        answer = await self._read("/-/kv-watch", query, wait_s + WATCH_MARGIN_S, _decode_watch)
+        answer, epoch = await self._read(
+            "/-/kv-watch", query, wait_s + WATCH_MARGIN_S, _decode_watch
+        )
         # A second copy of an earlier answer would shift all later answers on the connection by one.
         if answer.store_revision < after or any(event.rev <= after for event in answer.events):
             self._reject(f"watch after revision {after} returned earlier changes")
         return StoreReadResult(
-            records=_build_records(answer.events), revision=answer.store_revision
+            records=_build_records(answer.events), revision=answer.store_revision, epoch=epoch
         )
 
     def _reject(self, reason: str) -> NoReturn:
@@ -145,17 +156,24 @@
             response = await self._http.get(path=f"{path}?{urlencode(query)}", timeout_s=timeout_s)
         except HttpError as exc:
             raise StoreError(str(exc)) from exc
+        epoch = _parse_epoch(response.headers.get(EPOCH_HEADER, "0"))
         if response.status == HTTP_GONE:
-            raise HistoryLostError("the store no longer keeps the requested changes")
+            raise HistoryLostError("the store no longer keeps the requested changes", epoch=epoch)
         if response.status != HTTP_OK:
             self._http.close()
             raise StoreError(f"the store answered with status {response.status}")
         try:
-            return decode(response.body)
+            return decode(response.body), epoch
         except ValueError as exc:
             raise StoreError(f"malformed answer of the store: {exc}") from exc
 
 
+def _parse_epoch(text: str) -> int:
+    if not (text.isascii() and text.isdigit()):
+        raise StoreError(f"the store answered with epoch {text!r}, expected a whole number")
+    return int(text)
+
+
 def _build_records(items: list[_Item]) -> list[Record]:
     return [_build_record(item) for item in items]
 
--- a/mulberryswitch/transport/_http.py
+++ b/mulberryswitch/transport/_http.py
@@ -6,8 +6,8 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
 import h11
 
@@ -28,11 +28,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpResponse:
-    """Status and body of a response."""
+    """Status and body of a response; `headers` of a received one, with names in lower case."""
 
     status: int
     body: bytes
     content_type: str = "application/json"
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 class HttpClient:
@@ -121,19 +122,22 @@
 
 
 async def _read_response(protocol: h11.Connection, reader: asyncio.StreamReader) -> HttpResponse:
-    status, body = 0, bytearray()
+    status, headers, body = 0, {}, bytearray()
     while True:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
             protocol.receive_data(await reader.read(READ_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            headers = {
+                name.decode("ascii"): value.decode("latin-1") for name, value in event.headers
+            }
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > MAX_BODY_BYTES:
                 raise HttpError(f"response body exceeds {MAX_BODY_BYTES} bytes")
         elif isinstance(event, h11.EndOfMessage):
-            return HttpResponse(status=status, body=bytes(body))
+            return HttpResponse(status=status, body=bytes(body), headers=headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise HttpError("connection closed before a complete response")
 
