--- a/mulberryswitch/front/tests/builders.py
+++ b/mulberryswitch/front/tests/builders.py
@@ -4,12 +4,13 @@
 import contextlib
 import socket
 import struct
+import unittest
 from collections.abc import Callable
 from random import Random
 
 from mulberryswitch.front import Address, Front, FrontSettings
 from mulberryswitch.platform import ADAPTER
-from standins.store import FakeStore
+from standins.store import FakeStore, StoreFault
 
 HEADER = struct.Struct("!IIHIHIHBII")
 SYN, ACK, RST = 64, 8, 4
@@ -174,3 +175,29 @@
         store.put(f"servers/i-{target_number:x}", build_target_entry(port))
     await store.start()
     return store
+
+
+class FrontTestCase(unittest.IsolatedAsyncioTestCase):
+    """Fixture with a store, two targets, a caller and the settings of a VM."""
+
+    page_items = 500
+
+    async def asyncSetUp(self):
+        self.targets = [await DatagramRecorder().start() for _ in range(2)]
+        ports = [target.port for target in self.targets]
+        self.store = await start_store(*ports, page_items=self.page_items)
+        self.settings = build_settings(self.store.port)
+        self.caller = await DatagramRecorder().start(CALLER_HOST, self.settings.packet_address.port)
+
+    async def asyncTearDown(self):
+        self.store.fault = StoreFault.NONE
+        for recorder in (*self.targets, self.caller):
+            recorder.stop()
+        await self.store.stop()
+
+    @property
+    def received(self) -> list[bytes]:
+        return [data for target in self.targets for data in target.received]
+
+    def send(self, data: bytes) -> None:
+        self.caller.send(data, self.settings.packet_address)
--- a/mulberryswitch/front/tests/test_front.py
+++ b/mulberryswitch/front/tests/test_front.py
@@ -18,9 +18,8 @@
 from mulberryswitch.front import Address, Front
 from mulberryswitch.front._node import _watch_settings
 from mulberryswitch.front.tests.builders import (
-    CALLER_HOST,
     RST,
-    DatagramRecorder,
+    FrontTestCase,
     RunningFront,
     build_config,
     build_settings,
@@ -37,32 +36,6 @@
 from standins.store import StoreFault
 
 
-class FrontTestCase(unittest.IsolatedAsyncioTestCase):
-    """Fixture with a store, two targets, a caller and the settings of a VM."""
-
-    page_items = 500
-
-    async def asyncSetUp(self):
-        self.targets = [await DatagramRecorder().start() for _ in range(2)]
-        ports = [target.port for target in self.targets]
-        self.store = await start_store(*ports, page_items=self.page_items)
-        self.settings = build_settings(self.store.port)
-        self.caller = await DatagramRecorder().start(CALLER_HOST, self.settings.packet_address.port)
-
-    async def asyncTearDown(self):
-        self.store.fault = StoreFault.NONE
-        for recorder in (*self.targets, self.caller):
-            recorder.stop()
-        await self.store.stop()
-
-    @property
-    def received(self) -> list[bytes]:
-        return [data for target in self.targets for data in target.received]
-
-    def send(self, data: bytes) -> None:
-        self.caller.send(data, self.settings.packet_address)
-
-
 class ServingTest(FrontTestCase):
     """Guards against altered packets, unknown routes without a reset and missing HTTP pages."""
 
