Forget the position when the settings name another store

Same cause as the restored store: positions of two histories were compared. After a reload with the address of a store whose revisions are lower, a VM stayed at the former position for good: each full read was discarded as older. Found by asking where else a revision can go back.

--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -3,6 +3,7 @@
 import itertools
 import logging
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 
 from ._change_log import ChangeLog
 from ._departures import LAPSE_GRACE_S, Departure, DepartureCause
@@ -12,6 +13,9 @@
 
 __all__ = ["Directory"]
 
+# Below the epochs of any store.
+FORMER_STORE_EPOCH = -1
+
 log = logging.getLogger("directory")
 
 
@@ -187,6 +191,17 @@
                 self._apply_target(content, now_s)
         return self._complete_update(self.position, True, now_s)
 
+    def forget_position(self) -> None:
+        """Prepare for another store, whose epochs and revisions have nothing to do with these.
+
+        The content stays in use as after a restore, until the first snapshot of the other store.
+        """
+        self.position = START
+        self._records = {
+            key: replace(record, epoch=FORMER_STORE_EPOCH) for key, record in self._records.items()
+        }
+        self._log.clear(START)
+
     def _enter_epoch(self, position: Position, now_s: float, heritage: Heritage | None) -> None:
         if self._records:
             log.warning(
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -111,6 +111,7 @@
     def apply_settings(self, settings: FrontSettings) -> None:
         """Apply new seeds, store address and shutdown time; other changes need a restart."""
         if settings.store_address != self.settings.store_address:
+            self.directory.forget_position()
             self.reader.replace_store(self.adapter.connect_store(settings.store_address))
         self.peers.apply_settings(seeds=settings.seeds, store_address=settings.store_address)
         self.settings = replace(
--- a/mulberryswitch/front/tests/test_front.py
+++ b/mulberryswitch/front/tests/test_front.py
@@ -414,16 +414,21 @@
             self.assertEqual(front.peers.settings.seeds, changed.seeds)
 
     async def test_new_store_address_is_applied(self):
-        other = await start_store(9)
-        for _ in range(9):
-            other.put("servers/i-9", build_target_entry(9))
-        other.put("op/config", build_config(30))
-        async with RunningFront(self.settings) as front:
-            await wait_until(lambda: front.is_ready)
-            address = self.settings.store_address._replace(port=other.port)
-            front.apply_settings(replace(self.settings, store_address=address))
-            await wait_until(lambda: front.directory.version == 30)
-        await other.stop()
+        """The other store's revisions may be higher or lower than those of the former one."""
+        for changes in (0, 40):
+            with self.subTest(changes=changes):
+                other = await start_store(9)
+                self.addAsyncCleanup(other.stop)
+                for _ in range(changes):
+                    other.put("servers/i-9", build_target_entry(9))
+                other.put("op/config", build_config(30))
+                for _ in range(20 - changes // 2):
+                    self.store.put("servers/i-1", build_target_entry(self.targets[0].port))
+                async with RunningFront(self.settings) as front:
+                    await wait_until(lambda front=front: front.is_ready)
+                    address = self.settings.store_address._replace(port=other.port)
+                    front.apply_settings(replace(self.settings, store_address=address))
+                    await wait_until(lambda front=front: front.directory.version == 30)
 
 
 if __name__ == "__main__":
