Give a shared token to the process that started first, by its start time

Two identities that collide on a token are ordered by the revision of their creation. After a restore both register again, in any order and at repeated revisions, so the token and with it the older target's open flows could move to the younger target, at some VMs only.

The start of the process does not change with a restore and is the same at all VMs. The creation still decides where the start is unknown. The test failed before: the token went to the younger one.

--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -460,8 +460,9 @@
             for service, group in itertools.groupby(available, key=lambda target: target.service)
         }
 
-    def _get_age_order(self, target: Target) -> tuple[int, str]:
-        return self._records[target.key].created_revision, target.key
+    def _get_age_order(self, target: Target) -> tuple[int, int, str]:
+        # A restore changes revisions, but not the start of a process.
+        return target.boot_ms, self._records[target.key].created_revision, target.key
 
     # Exchange with peers
 
--- a/mulberryswitch/directory/tests/test_directory.py
+++ b/mulberryswitch/directory/tests/test_directory.py
@@ -191,6 +191,22 @@
         self.assertEqual(directory.find_target(build_token(b"12345678")).key, "old")
         self.assertEqual(get_names(directory), {"old"})
 
+    def test_a_restore_does_not_move_a_shared_token(self):
+        """The older target registers again after the younger one, so its record is the newer."""
+        boots = {"old": 3, "young": 8}
+        directory = Directory(
+            decode=lambda record: build_target(
+                record.key, identity=b"12345678", boot_ms=boots[record.key]
+            ),
+        )
+        for epoch, names in ((1, ("old", "young")), (2, ("young", "old"))):
+            records = [
+                Record(key=name, revision=n, created_revision=n, value=b"{}", epoch=epoch)
+                for n, name in enumerate(names, start=1)
+            ]
+            directory.apply_snapshot(records=records, position=Position(epoch, 9), now_s=0.0)
+            self.assertEqual(directory.find_target(build_token(b"12345678")).key, "old")
+
     @given(st.binary(min_size=8, max_size=8))
     def test_no_token_is_zero(self, identity):
         """A token of 0 says that a caller has had no answer."""
