Pull all records for a newer version only from peers that are not ahead

A version of a peer that is further on comes with the next changes; the comparison made each change of the configuration a pull of all records at every VM. The heritage's age goes on while the packed records of an answer are cached.

--- a/mulberryswitch/front/_pulls.py
+++ b/mulberryswitch/front/_pulls.py
@@ -5,6 +5,7 @@
 import logging
 import zlib
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 
 import msgpack
 
@@ -170,10 +171,13 @@
     def _has_heritage(self, source: Source) -> bool:
         """Return whether a peer of this epoch knows what the store lacks, and this VM may not."""
         directory = self.directory
-        return source.position.epoch == directory.epoch and (
-            source.version > directory.version
-            or (source.keeps_heritage and directory.needs_heritage)
+        if source.position.epoch != directory.epoch:
+            return False
+        # A peer that is further on in the epoch has its newer version from the store.
+        has_newer_config = (
+            source.version > directory.version and source.position <= directory.position
         )
+        return has_newer_config or (source.keeps_heritage and directory.needs_heritage)
 
     def _apply_part(self, part: DirectoryPart, records: list[Record], source: Source) -> None:
         previous = self.directory.position
@@ -239,18 +243,22 @@
     def _get_part(self, after: Position) -> DirectoryPart:
         """Return the answer to a pull; the last one is cached as several peers request the same."""
         position = self.directory.position
-        if self._cached_part is not None and self._cached_part[0] == (after, position):
-            return self._cached_part[1]
+        if self._cached_part is None or self._cached_part[0] != (after, position):
+            self._cached_part = ((after, position), self._build_part(after, position))
+        part = self._cached_part[1]
+        if not part.is_whole:
+            return part
+        # The age of the heritage goes on while the records are cached.
+        return replace(part, heritage=_pack_heritage(self.directory.build_heritage(self.clock())))
+
+    def _build_part(self, after: Position, position: Position) -> DirectoryPart:
         changes = self.directory.list_changes(after)
         is_whole = changes is None
-        heritage = self.directory.build_heritage(self.clock()) if is_whole else Heritage()
-        part = DirectoryPart(
+        return DirectoryPart(
             epoch=position.epoch,
             revision=position.revision,
             after=after.revision,
             is_whole=is_whole,
             packed=pack_records(self.directory.list_records() if is_whole else changes),
-            heritage=_pack_heritage(heritage),
+            heritage=HeritagePart(),
         )
-        self._cached_part = ((after, position), part)
-        return part
