Soak: the store comes back from an older copy; what it lacks is written again later

A new kind of fault: the stand-in store loses its last 1 to 9 s, is away, and gets back the configuration and the records of targets up to 1.5 s after its return; records of targets that had left lapse 3 s after it.

--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -84,6 +84,9 @@
     def publish(self) -> None:
         """Publish the next version of the configuration."""
         self._version += 1
+        self._write_config()
+
+    def _write_config(self) -> None:
         fixed = [
             (self.routes.feeds, "safe", FEEDS),
             (self.routes.reports, "unsafe", FEEDS),
@@ -162,7 +165,26 @@
     def _delete_record(self, target: Target) -> None:
         if target.name in self._stored_names:
             self._stored_names.remove(target.name)
-            self.store.delete(f"servers/{target.name}")
+            self._delete_key(f"servers/{target.name}")
+
+    def _delete_key(self, key: str) -> None:
+        # A restored store may lack what was written before.
+        if self.store.has_key(key):
+            self.store.delete(key)
+
+    def write_again(self) -> None:
+        """Write what a restored store lacks: the configuration and the records of targets."""
+        self._write_config()
+        for target in self.targets:
+            if target.name in self._stored_names:
+                self._put_record(target)
+
+    def expire_gone(self) -> None:
+        """Delete the records of targets that have left, which a restored store holds again."""
+        stored = {f"servers/{name}" for name in self._stored_names}
+        for key in self.store.list_keys("servers/"):
+            if key not in stored:
+                self.store.delete(key)
 
     def record_disturbance(self, target: Target, duration_s: float = float("inf")) -> None:
         """Record a disturbance of a target that starts now."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -31,6 +31,7 @@
     STORE_BUSY = "store-busy"  # the store refuses reads
     STORE_LAPSE = "store-lapse"  # records of live targets lapse
     STORE_FORGET = "store-forget"  # the store drops its change history
+    STORE_RESTORE = "store-restore"  # the store comes back from an older copy
     LINK_RESET = "link-reset"
     LINK_SILENT = "link-silent"
     LINK_ONE_WAY = "link-one-way"
--- a/soak/_injector.py
+++ b/soak/_injector.py
@@ -20,6 +20,8 @@
 LEASE_S = 3.0
 # Targets whose records lapsed during a store outage write them again within 2 s of its end.
 RENEWAL_DELAY_S = 1.5
+# Age of the copy from which the store comes back.
+MIN_COPY_AGE_S, MAX_COPY_AGE_S = 1, 9
 STORM_CHANGES = 8
 STORM_GAP_S = 0.1
 MIN_LIVE_TARGETS = {FEEDS: 3, SCANS: 1}
@@ -55,6 +57,7 @@
         self.records = context.records
         self.clock = context.clock
         self._store_fault_count = 0
+        self._started_s = self.deployment.store.clock()
         self._link_faults = {
             FaultKind.LINK_RESET: LinkFault.RESET,
             FaultKind.LINK_SILENT: LinkFault.SILENT,
@@ -75,6 +78,7 @@
             FaultKind.STORE_BUSY: self._refuse_reads,
             FaultKind.STORE_LAPSE: self._expire_records,
             FaultKind.STORE_FORGET: self._drop_history,
+            FaultKind.STORE_RESTORE: self._restore_store,
             FaultKind.CONFIG_ADD: self._add_route,
             FaultKind.CONFIG_REMOVE: self._remove_route,
             FaultKind.CONFIG_STORM: self._publish_storm,
@@ -189,6 +193,19 @@
     async def _drop_history(self, fault: Fault) -> None:
         self.deployment.store.drop_history()
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Bring an older copy back; what was written since is written again, some time later."""
+        store = self.deployment.store
+        age_s = MIN_COPY_AGE_S + fault.selector % MAX_COPY_AGE_S
+        # The first configuration was written before all copies.
+        store.restore(at_s=max(store.clock() - age_s, self._started_s))
+        await self._refuse_reads(fault)
+        delay_s = RENEWAL_DELAY_S * (fault.selector % 4) / 3
+        await asyncio.sleep(delay_s)
+        self.deployment.write_again()
+        await asyncio.sleep(LEASE_S - delay_s)
+        self.deployment.expire_gone()
+
     async def _disturb_link(self, fault: Fault) -> None:
         link_fault = self._link_faults[fault.kind]
         self.relay.start_fault(link_fault)
--- a/standins/store.py
+++ b/standins/store.py
@@ -151,6 +151,10 @@
         """Return whether the store holds an item of this key."""
         return key in self._state.items
 
+    def list_keys(self, prefix: str) -> list[str]:
+        """Return the keys that start with `prefix`."""
+        return [key for key in self._state.items if key.startswith(prefix)]
+
     # HTTP handlers
 
     async def _add_epoch(self, request: web.Request, response: web.StreamResponse) -> None:
