Do not wait in the first watch after a failure, which tells the store's epoch

A store that came back from an older copy may be at the VM's revision again when it is asked. Then the watch waits, and the VM learns of the next epoch only when the wait of 2.5 s ends, or from a VM of the second rank. Callers saw targets and routes of the former epoch that long.

Ruled out: backoff (its limit is 1 s, and the readers' lines of failure end).

The first watch after a failure is answered at once, and its header tells. The two tests failed before, the one on sockets with a TimeoutError.

--- a/mulberryswitch/directory/_read_planner.py
+++ b/mulberryswitch/directory/_read_planner.py
@@ -88,4 +88,5 @@
             return ReadAll(may_be_stale=False)
         if position == START:
             return ReadAll(may_be_stale=True)
-        return Watch(after=position, wait_s=WATCH_TIMEOUT_S)
+        # The store may have been restored meanwhile. A watch tells its epoch only when it ends.
+        return Watch(after=position, wait_s=0.0 if self.failures else WATCH_TIMEOUT_S)
--- a/mulberryswitch/directory/tests/test_feed.py
+++ b/mulberryswitch/directory/tests/test_feed.py
@@ -214,6 +214,14 @@
             ReadAll(may_be_stale=False),
         )
 
+    def test_watch_after_a_failure_does_not_wait(self):
+        """It tells the epoch of a store that was restored during the failure."""
+        self.planner.observe_failure(is_loaded=True, now_s=0.0, rng=self.rng)
+        self.assertEqual(self.planner.decide(position=Position(revision=4), now_s=1.0).wait_s, 0.0)
+        self.planner.observe_success(size_bytes=0, now_s=1.0)
+        step = self.planner.decide(position=Position(revision=4), now_s=1.0)
+        self.assertGreater(step.wait_s, 0.0)
+
     def test_changes_in_quick_succession_are_batched(self):
         self.planner.observe_success(size_bytes=200, now_s=1.0)
         self.assertIsInstance(self.planner.decide(position=Position(revision=4), now_s=1.1), Pause)
--- a/mulberryswitch/front/tests/test_restored_store.py
+++ b/mulberryswitch/front/tests/test_restored_store.py
@@ -76,6 +76,19 @@
             await self.wait_for_version(11, front)
             self.assertIn("servers/i-3", front.directory.targets)
 
+    async def test_epoch_is_noticed_although_a_watch_at_the_repeated_revision_waits(self):
+        async with RunningFront(self.settings) as front:
+            await wait_until(lambda: front.is_ready)
+            copied_s = self.store.clock()
+            await self.publish(4, front)
+            self.store.fault = StoreFault.BUSY
+            await wait_until(lambda: front.reader.planner.failures > 1)
+            self.store.restore(at_s=copied_s)
+            self.store.put("op/config", build_config(8))
+            self.store.fault = StoreFault.NONE
+            # Half of the bound remains for the way to the other VMs.
+            await wait_until(lambda: front.directory.version == 8, timeout_s=CONFIG_TIMEOUT_S / 2)
+
     async def test_configuration_in_force_and_missing_target_survive_the_copy(self):
         async with RunningFront(self.settings) as front:
             await wait_until(lambda: front.is_ready)
