Read the present state of the store first, not one that may be stale

A VM that started after a restore could serve a former configuration, and targets that had left, for the rest of its life. Its first read accepted a state that is seconds old. Such a state may be from before the restore, but its answer has the present epoch, and its revision may have been given out again. The watch from there then succeeds and skips the changes with the repeated numbers.

Same cause as the restored store: revisions of two lives were compared. Found by asking what a starting VM does; the users' pages say that a stale read may be seconds behind. Both former answers, a stale read and a watch from it, are two calls; a read of the present state is one.

The new test failed before (version 4 instead of 8).

--- a/mulberryswitch/directory/_read_planner.py
+++ b/mulberryswitch/directory/_read_planner.py
@@ -24,9 +24,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadAll:
-    """Read every record; `may_be_stale` allows a cheaper read of an older state."""
+    """Read every record as of now.
 
-    may_be_stale: bool
+    A cheaper read that may be stale may also be of an earlier epoch, without telling.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,9 +85,7 @@
         """Return the next step of a reader that is at `position`."""
         if now_s < self._not_before_s:
             return Pause(wait_s=self._not_before_s - now_s)
-        if self._needs_full_read:
-            return ReadAll(may_be_stale=False)
-        if position == START:
-            return ReadAll(may_be_stale=True)
+        if self._needs_full_read or position == START:
+            return ReadAll()
         # The store may have been restored meanwhile. A watch tells its epoch only when it ends.
         return Watch(after=position, wait_s=0.0 if self.failures else WATCH_TIMEOUT_S)
--- a/mulberryswitch/front/_settings.py
+++ b/mulberryswitch/front/_settings.py
@@ -88,7 +88,7 @@
 class Store(Protocol):
     """Client of the platform's store; ``directory.ReadPlanner`` decides which read comes next."""
 
-    async def read_all(self, *, may_be_stale: bool) -> ReadResult:
+    async def read_all(self) -> ReadResult:
         """Return all records.
 
         Raises
--- a/mulberryswitch/front/_store_reader.py
+++ b/mulberryswitch/front/_store_reader.py
@@ -5,15 +5,13 @@
 from collections.abc import Callable
 from random import Random
 
-from mulberryswitch.directory import Directory, Pause, Position, ReadAll, ReadPlanner, Watch
+from mulberryswitch.directory import Directory, Pause, ReadAll, ReadPlanner, Watch
 
-from ._settings import HistoryLostError, ReadResult, Store, StoreError
+from ._settings import HistoryLostError, Store, StoreError
 
 __all__ = ["StoreReader"]
 
 IDLE_POLL_S = 0.1
-# A starting VM serves nobody until it has caught up, so it does not wait long for a slow store.
-CATCH_UP_TIMEOUT_S = 0.4
 
 log = logging.getLogger("store")
 
@@ -89,51 +87,17 @@
                 self._observe_failure(exc)
 
     async def _read(self, step: ReadAll | Watch) -> None:
-        snapshot = changes = None
         if isinstance(step, ReadAll):
-            snapshot = await self.store.read_all(may_be_stale=step.may_be_stale)
-            if step.may_be_stale:
-                changes = await self._catch_up(snapshot.position)
+            result, apply = await self.store.read_all(), self.directory.apply_snapshot
         else:
-            changes = await self.store.watch(after=step.after, wait_s=step.wait_s)
+            result = await self.store.watch(after=step.after, wait_s=step.wait_s)
+            apply = self.directory.apply_records
         now_s = self.clock()
         if self.planner.failures:
             log.info("store is reachable again", extra={"failures": self.planner.failures})
-        results = [result for result in (snapshot, changes) if result is not None]
-        size_bytes = sum(len(r.value or b"x") for result in results for r in result.records)
+        size_bytes = sum(len(record.value or b"x") for record in result.records)
         self.planner.observe_success(size_bytes=size_bytes, now_s=now_s)
-        self._apply(snapshot, changes, now_s)
-
-    async def _catch_up(self, position: Position) -> ReadResult | None:
-        """Return the changes since a snapshot that may be seconds old; None if there is no answer.
-
-        Without them, a VM that starts would use targets that have left and routes that were
-        removed. Without an answer it serves from the snapshot, which is better than not at all.
-        """
-        self.count("store_reads", 1)
-        try:
-            async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
-                return await self.store.watch(after=position, wait_s=0.0)
-        except HistoryLostError:
-            raise
-        except OSError as exc:  # includes TimeoutError
-            log.warning(
-                "changes since a stale read are missing",
-                extra={"revision": position.revision, "error": str(exc) or "timeout"},
-            )
-            return None
-
-    def _apply(self, snapshot: ReadResult | None, changes: ReadResult | None, now_s: float) -> None:
-        """Apply both results, then report the change, so that no flow sees the first alone."""
-        applied = [
-            apply(records=result.records, position=result.position, now_s=now_s)
-            for apply, result in (
-                (self.directory.apply_snapshot, snapshot),
-                (self.directory.apply_records, changes),
-            )
-            if result is not None
-        ]
-        if any(applied):
+        if apply(records=result.records, position=result.position, now_s=now_s):
             self.report_change()
 
     def _observe_failure(self, exc: StoreError) -> None:
--- a/mulberryswitch/front/tests/test_restored_store.py
+++ b/mulberryswitch/front/tests/test_restored_store.py
@@ -89,6 +89,20 @@
             # Half of the bound remains for the way to the other VMs.
             await wait_until(lambda: front.directory.version == 8, timeout_s=CONFIG_TIMEOUT_S / 2)
 
+    async def test_starting_vm_does_not_use_a_stale_read_from_before_the_restore(self):
+        """Its revision stands for another change by then, so that no watch closes the gap."""
+        copied_s = self.store.clock()
+        self.store.put("op/config", build_config(4))
+        self.store.put("servers/i-3", build_target_entry(9))
+        self.store.freeze_stale_reads()
+        self.store.restore(at_s=copied_s)
+        self.store.put("op/config", build_config(8))
+        self.store.delete("servers/i-1")
+        async with RunningFront(self.settings) as front:
+            await wait_until(lambda: front.is_ready)
+            self.assertEqual(front.directory.version, 8)
+            self.assertEqual(list(front.directory.targets), ["servers/i-2"])
+
     async def test_configuration_in_force_and_missing_target_survive_the_copy(self):
         async with RunningFront(self.settings) as front:
             await wait_until(lambda: front.is_ready)
--- a/mulberryswitch/platform/_store.py
+++ b/mulberryswitch/platform/_store.py
@@ -70,18 +70,12 @@
     def __init__(self, *, host: str, port: int):
         self._http = HttpClient(host=host, port=port)
 
-    async def read_all(self, *, may_be_stale: bool) -> StoreReadResult:
+    async def read_all(self) -> StoreReadResult:
         """Return every record.
 
         The pages of one read are not a consistent snapshot, so the result has the revision of the
         first page. A watch from there repeats changes that later pages may already contain.
 
-        Parameters
-        ----------
-        may_be_stale : bool
-            Accept a state that is seconds old, which costs the store a tenth of an up-to-date
-            read; a watch from its revision closes the gap.
-
         Raises
         ------
         StoreError
@@ -92,8 +86,6 @@
         after = None
         for _ in range(MAX_PAGES):
             query = {"prefix": ""}
-            if may_be_stale:
-                query["serializable"] = "1"
             if after is not None:
                 query["after"] = after
             page, epoch = await self._read("/-/kv-range", query, READ_TIMEOUT_S, _decode_page)
--- a/standins/store.py
+++ b/standins/store.py
@@ -136,14 +136,14 @@
     def restore(self, *, at_s: float) -> None:
         """Come back from the copy of time `at_s`: later changes are lost, a new epoch starts.
 
-        Revisions continue from that of the copy, so that later writes repeat some.
+        Revisions continue from that of the copy, so that later writes repeat some. Stale reads may
+        still return a state from before.
         """
         self._changes = [change for change in self._changes if change.at_s <= at_s]
         self._state = _State()
         for change in self._changes:
             self._state.apply(change)
         self._compacted_revision = min(self._compacted_revision, self._state.revision)
-        self._stale_snapshot = None
         self.epoch += 1
         self._wake_watches()
 
