Drop or list targets of a former epoch only once the store confirms it

A store that is away again just after its return gives nobody a confirmation. The targets that its copy lacked were dropped 2.5 s after the restore all the same, so callers lost open flows of live targets that had had no chance to register again. Departed targets that the copy still held were listed after 15 s in the same way, although a deletion could have been waiting.

Cause: the decision compared the present time with the deadline, not the time of the last confirmation. Found by asking how a target that is missing from the copy is not dropped too soon. Ruled out: a longer deadline alone, since an outage has no upper limit.

The store's last confirmation, the VM's own or a reader's at the same position or before, has to be after the deadline. A reader ends its watch at the deadline, so that the decision is not late.

--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
@@ -89,6 +90,11 @@
         """Revision of the position."""
         return self.position.revision
 
+    @property
+    def due_s(self) -> float:
+        """Time from which `apply_due` may change the content; infinite if nothing is pending."""
+        return min([*self._kept_until_s.values(), *self._withheld_until_s.values(), math.inf])
+
     # Lookups
 
     def find_target(self, token: int) -> Target | None:
@@ -175,13 +181,22 @@
             has_changes |= self._apply_heritage(inherited, heritage, position, now_s)
         return self._complete_update(position, has_changes, now_s)
 
-    def apply_due(self, now_s: float) -> bool:
-        """Drop kept targets and list withheld ones whose time is up; return whether any was."""
-        lapsed = [key for key, until_s in self._kept_until_s.items() if now_s > until_s]
+    def apply_due(self, *, now_s: float, confirmed_s: float) -> bool:
+        """Drop kept targets and list withheld ones whose time is up; return whether any was.
+
+        Parameters
+        ----------
+        now_s : float
+        confirmed_s : float
+            Time at which the store last confirmed this position. If it was before the time was up,
+            the store may hold a newer record that has not arrived.
+        """
+        lapsed = [key for key, until_s in self._kept_until_s.items() if confirmed_s > until_s]
         for key in lapsed:
             # The grace period has already passed.
-            self._remove_record(key, self._kept_until_s[key] - LAPSE_GRACE_S)
-        live = [key for key, until_s in self._withheld_until_s.items() if now_s > until_s]
+            departed_s = max(self._kept_until_s[key], now_s - LAPSE_GRACE_S) - LAPSE_GRACE_S
+            self._remove_record(key, departed_s)
+        live = [key for key, until_s in self._withheld_until_s.items() if confirmed_s > until_s]
         if not lapsed and not live:
             return False
         for key in live:
--- a/mulberryswitch/directory/_read_planner.py
+++ b/mulberryswitch/directory/_read_planner.py
@@ -1,5 +1,6 @@
 """Schedule of a VM's reads of the store."""
 
+import math
 from dataclasses import dataclass
 from random import Random
 
@@ -15,6 +16,8 @@
 # A large configuration saturates a small link for a while, so the next read is delayed further.
 LARGE_BYTES = 32_768
 LARGE_READ_INTERVAL_S = 0.75
+# The wait of a watch is in whole milliseconds, and its answer must not be early.
+DUE_MARGIN_S = 0.02
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 # Maximum for a VM without a configuration, which cannot serve any caller until it has one.
@@ -81,11 +84,28 @@
         """Require a full read, since the store no longer has the changes after our revision."""
         self._needs_full_read = True
 
-    def decide(self, *, position: Position, now_s: float) -> ReadAll | Watch | Pause:
-        """Return the next step of a reader that is at `position`."""
+    def decide(
+        self, *, position: Position, now_s: float, due_s: float = math.inf
+    ) -> ReadAll | Watch | Pause:
+        """Return the next step of a reader.
+
+        Parameters
+        ----------
+        position : Position
+            Position of the reader.
+        now_s : float
+        due_s : float
+            Time at which the reader needs a confirmation of its position.
+        """
         if now_s < self._not_before_s:
             return Pause(wait_s=self._not_before_s - now_s)
         if self._needs_full_read or position == START:
             return ReadAll()
-        # The store may have been restored meanwhile. A watch tells its epoch only when it ends.
-        return Watch(after=position, wait_s=0.0 if self.failures else WATCH_TIMEOUT_S)
+        if self.failures:
+            # The store may have been restored. A watch tells its epoch only when it ends.
+            return Watch(after=position, wait_s=0.0)
+        due_in_s = due_s + DUE_MARGIN_S - now_s
+        return Watch(
+            after=position,
+            wait_s=min(WATCH_TIMEOUT_S, due_in_s) if due_in_s > 0 else WATCH_TIMEOUT_S,
+        )
--- a/mulberryswitch/directory/tests/test_feed.py
+++ b/mulberryswitch/directory/tests/test_feed.py
@@ -222,6 +222,12 @@
         step = self.planner.decide(position=Position(revision=4), now_s=1.0)
         self.assertGreater(step.wait_s, 0.0)
 
+    def test_watch_ends_when_a_confirmation_is_needed(self):
+        for due_s, wait_s in ((1.5, 0.52), (9.0, 2.5), (0.5, 2.5)):
+            with self.subTest(due_s):
+                step = self.planner.decide(position=Position(revision=4), now_s=1.0, due_s=due_s)
+                self.assertAlmostEqual(step.wait_s, wait_s)
+
     def test_changes_in_quick_succession_are_batched(self):
         self.planner.observe_success(size_bytes=200, now_s=1.0)
         self.assertIsInstance(self.planner.decide(position=Position(revision=4), now_s=1.1), Pause)
--- a/mulberryswitch/directory/tests/test_restore.py
+++ b/mulberryswitch/directory/tests/test_restore.py
@@ -48,7 +48,7 @@
         self.apply_snapshot(list(known.values()), Position(2, revision), now_s=now_s)
 
     def get_serving(self, now_s: float, service: str = "feeds") -> set[str]:
-        self.directory.apply_due(now_s)
+        self.directory.apply_due(now_s=now_s, confirmed_s=now_s)
         return {target.key for target in self.directory.list_serving(service, now_s)}
 
 
@@ -151,6 +151,14 @@
         departure = self.directory.find_departure(get_token("t2"))
         self.assertTrue(departure.is_gone(RESTORED_S + 2.6))
 
+    def test_target_stays_in_use_while_the_store_does_not_confirm_that_it_is_missing(self):
+        """The store may be away again before the target has registered."""
+        self.restore()
+        self.directory.apply_due(now_s=RESTORED_S + 30.0, confirmed_s=RESTORED_S + 2.4)
+        self.assertIn("t2", self.directory.targets)
+        self.directory.apply_due(now_s=RESTORED_S + 30.1, confirmed_s=RESTORED_S + 30.0)
+        self.assertNotIn("t2", self.directory.targets)
+
     def test_restarted_process_is_preferred_to_its_predecessor_in_the_copy(self):
         former = build_target_record("t2", 6, epoch=2, boot_ms=3)
         self.restore(former)
@@ -191,6 +199,12 @@
         self.restore()
         self.assertEqual(self.get_serving(RESTORED_S + 16.0), {"t1"})
 
+    def test_withheld_record_is_not_used_while_the_store_does_not_confirm_it(self):
+        self.leave()
+        self.restore()
+        self.directory.apply_due(now_s=RESTORED_S + 30.0, confirmed_s=RESTORED_S + 2.0)
+        self.assertEqual(self.directory.list_serving("feeds", RESTORED_S + 30.0), [])
+
     def test_target_that_registers_again_is_used_at_once(self):
         self.leave()
         self.restore()
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -170,10 +170,16 @@
             self._announce(now_s)
             self._send_load_share(now_s)
             self._bootstrap(now_s)
-            if self.directory.apply_due(now_s):
-                self.report_change()
+            self._apply_due(now_s)
             await self.directory_sync.pull(members=self.membership.live(), now_s=now_s)
 
+    def _apply_due(self, now_s: float) -> None:
+        if now_s <= self.directory.due_s:
+            return
+        confirmed_s = now_s - self.get_confirmed_age_s()
+        if self.directory.apply_due(now_s=now_s, confirmed_s=confirmed_s):
+            self.report_change()
+
     def _log_member_changes(self) -> None:
         members = self.membership.live()
         if members is self._logged_members:
--- a/mulberryswitch/front/_store_reader.py
+++ b/mulberryswitch/front/_store_reader.py
@@ -65,7 +65,9 @@
             if not self.should_read():
                 await asyncio.sleep(IDLE_POLL_S)
                 continue
-            step = self.planner.decide(position=self.directory.position, now_s=self.clock())
+            step = self.planner.decide(
+                position=self.directory.position, now_s=self.clock(), due_s=self.directory.due_s
+            )
             if isinstance(step, Pause):
                 await asyncio.sleep(step.wait_s)
                 continue
