Start the waits of a restored store again after another outage

When the store was away again before the targets that its copy lacks had registered, they were dropped at its second return: its first confirmation came after the deadline. Live targets have two seconds from then on, and callers would lose their open flows for nothing. Departed targets that the copy still holds had the opposite: their leases do not run out while the store is away, yet they were listed again with the first confirmation after 15 s.

Cause: the time was counted from the first answer of the epoch, whether or not the writers could reach the store in between. Found by asking how a target that is missing from the copy is not dropped too soon. Now a reader that reaches the store after failures starts the waits again, and so does any VM that has heard of no confirmation for longer than a watch waits. The waits of an epoch are a class of their own, `EpochTransition`, out of `Directory`.

An outage shorter than 4 s is known to the readers alone, so other VMs may drop such a target up to 2.5 s before them.

Tests changed: `get_serving` and the teardown of the model check now confirm the position each second instead of once after a gap of up to 20 s, which is an outage by the new rule. The assertions are the same; the test of the unconfirmed deadline keeps both of its sides.

--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -2,14 +2,13 @@
 
 import itertools
 import logging
-import math
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
 from ._change_log import ChangeLog
 from ._departures import LAPSE_GRACE_S, Departure, DepartureCause
 from ._records import START, DecodeRecord, Manifest, Position, Record, Route, RouteKey, Target
-from ._restore import WITHHOLD_S, CopyVerdict, Heritage, judge_copied_target
+from ._restore import CopyVerdict, EpochTransition, Heritage, judge_copied_target
 from ._tokens import build_token
 
 __all__ = ["Directory"]
@@ -43,8 +42,6 @@
         Time of the last change of the content.
     keeps_heritage : bool
         Whether the content differs from the store's because of what was known before a restore.
-    needs_heritage : bool
-        Whether this epoch was entered through the store alone, so that a peer may know more.
     """
 
     def __init__(self, *, decode: DecodeRecord, keep_departed_s: float = 60.0):
@@ -55,7 +52,6 @@
         self.idle_timeout_s = 60.0
         self.changed_s = 0.0
         self.keeps_heritage = False
-        self.needs_heritage = False
         self.routes: dict[RouteKey, Route] = {}
         self.removed_routes: set[RouteKey] = set()
         self.targets: dict[str, Target] = {}
@@ -66,14 +62,7 @@
         self._log = ChangeLog()
         self._by_service: dict[str, list[Target]] = {}
         self._config_key: str | None = None
-        self._former = START
-        self._epoch_s = 0.0
-        # The first revision of this epoch that was seen. Records up to there may be of the copy.
-        self._copy_revision = 0
-        # Times until which known targets that the copy lacks are kept, and departed targets that it
-        # still holds are withheld, by key.
-        self._kept_until_s: dict[str, float] = {}
-        self._withheld_until_s: dict[str, float] = {}
+        self._transition = EpochTransition()
 
     @property
     def is_loaded(self) -> bool:
@@ -93,7 +82,12 @@
     @property
     def due_s(self) -> float:
         """Time from which `apply_due` may change the content; infinite if nothing is pending."""
-        return min([*self._kept_until_s.values(), *self._withheld_until_s.values(), math.inf])
+        return self._transition.due_s
+
+    @property
+    def needs_heritage(self) -> bool:
+        """Whether this epoch was entered through the store alone, so that a peer may know more."""
+        return self._transition.needs_heritage
 
     # Lookups
 
@@ -191,21 +185,27 @@
             Time at which the store last confirmed this position. If it was before the time was up,
             the store may hold a newer record that has not arrived.
         """
-        lapsed = [key for key, until_s in self._kept_until_s.items() if confirmed_s > until_s]
+        transition = self._transition
+        transition.observe_confirmation(confirmed_s)
+        lapsed = [key for key, s in transition.kept_until_s.items() if confirmed_s > s]
+        live = [key for key, s in transition.withheld_until_s.items() if confirmed_s > s]
+        if not lapsed and not live:
+            return False
         for key in lapsed:
             # The grace period has already passed.
-            departed_s = max(self._kept_until_s[key], now_s - LAPSE_GRACE_S) - LAPSE_GRACE_S
+            departed_s = max(transition.kept_until_s[key], now_s - LAPSE_GRACE_S) - LAPSE_GRACE_S
             self._remove_record(key, departed_s)
-        live = [key for key, until_s in self._withheld_until_s.items() if confirmed_s > until_s]
-        if not lapsed and not live:
-            return False
         for key in live:
-            del self._withheld_until_s[key]
+            transition.settle(key)
             content = self.decode(self._records[key])
             if isinstance(content, Target):
                 self._apply_target(content, now_s)
         return self._complete_update(self.position, True, now_s)
 
+    def observe_outage_end(self, now_s: float) -> None:
+        """Record that the store answers again, so that targets can register again from now on."""
+        self._transition.observe_outage_end(now_s)
+
     def forget_position(self) -> None:
         """Prepare for another store, whose epochs and revisions have nothing to do with these.
 
@@ -229,12 +229,9 @@
                     "version": self.version,
                 },
             )
-        self._former = self.position
-        self._epoch_s = now_s - (heritage.age_s if heritage else 0.0)
-        self._copy_revision = position.revision
-        self._kept_until_s.clear()
-        self._withheld_until_s.clear()
-        self.needs_heritage = heritage is None or heritage.former == START
+        self._transition.enter(
+            former=self.position, position=position, heritage=heritage, now_s=now_s
+        )
         self.position = position
 
     def _replace_records(self, records: Iterable[Record], position: Position, now_s: float) -> bool:
@@ -255,14 +252,13 @@
         if record.value is None:
             return known is not None and self._remove_record(record.key, now_s)
         target = content if isinstance(content, Target) else None
-        if record.epoch == self.epoch and record.revision <= self._copy_revision:
+        if record.epoch == self.epoch and record.revision <= self._transition.copy_revision:
             return self._apply_copied(record, target, now_s)
         return self._list_record(record, target, now_s)
 
     def _list_record(self, record: Record, target: Target | None, now_s: float) -> bool:
         self._records[record.key] = record
-        self._kept_until_s.pop(record.key, None)
-        self._withheld_until_s.pop(record.key, None)
+        self._transition.settle(record.key)
         if target is not None:
             self._apply_target(target, now_s)
         elif record.key in self.targets:
@@ -271,8 +267,7 @@
 
     def _remove_record(self, key: str, now_s: float) -> bool:
         created_revision = self._records.pop(key).created_revision
-        self._kept_until_s.pop(key, None)
-        self._withheld_until_s.pop(key, None)
+        self._transition.settle(key)
         self._apply_departure(key, DepartureCause.LAPSED, now_s, created_revision)
         return True
 
@@ -338,9 +333,9 @@
             return True
         if verdict is CopyVerdict.WITHHOLD:
             self._records[record.key] = record
-            self._withheld_until_s[record.key] = self._epoch_s + WITHHOLD_S
+            self._transition.withhold(record.key)
         elif not listed.is_draining:
-            self._kept_until_s[record.key] = self._epoch_s + LAPSE_GRACE_S
+            self._transition.keep([record.key])
         log.info(
             "record of the store's copy not used",
             extra={"key": record.key, "revision": record.revision, "verdict": verdict.value},
@@ -359,12 +354,10 @@
         A peer that was at least as far before the restore has already decided about those.
         """
         missing = self._records.keys() - {record.key for record in records} - {self._config_key}
-        is_decided = heritage is not None and heritage.former >= self._former
+        is_decided = heritage is not None and heritage.former >= self._transition.former
         if is_new_epoch and not is_decided:
-            self._kept_until_s |= dict.fromkeys(
-                missing & self.targets.keys(), self._epoch_s + LAPSE_GRACE_S
-            )
-        removed = missing - self._kept_until_s.keys()
+            self._transition.keep(missing & self.targets.keys())
+        removed = missing - self._transition.kept_until_s.keys()
         for key in removed:
             self._remove_record(key, now_s)
         return bool(removed)
@@ -373,20 +366,18 @@
         self, inherited: Iterable[Record], heritage: Heritage, position: Position, now_s: float
     ) -> bool:
         """Adopt what a peer knows from before the restore; return whether anything changed."""
-        self._epoch_s = min(self._epoch_s, now_s - heritage.age_s)
-        self._former = max(self._former, heritage.former)
-        self.needs_heritage = self.needs_heritage and heritage.former == START
+        self._transition.adopt(heritage, now_s)
         changed = [
             record.key for record in inherited if self._inherit_record(record, position, now_s)
         ]
         known = {record.key for record in inherited} & self.targets.keys()
-        for key in heritage.kept & known:
-            if self._records[key].epoch < self.epoch:
-                self._kept_until_s[key] = self._epoch_s + LAPSE_GRACE_S
+        self._transition.keep(
+            key for key in heritage.kept & known if self._records[key].epoch < self.epoch
+        )
         for key in heritage.withheld & self.targets.keys():
             if self._records[key].epoch == self.epoch and self._records[key].position <= position:
                 del self.targets[key]
-                self._withheld_until_s[key] = self._epoch_s + WITHHOLD_S
+                self._transition.withhold(key)
                 changed.append(key)
         return bool(changed)
 
@@ -446,7 +437,7 @@
 
     def _complete_update(self, position: Position, has_changes: bool, now_s: float) -> bool:
         self.position = max(self.position, position)
-        self.keeps_heritage = bool(self._withheld_until_s) or any(
+        self.keeps_heritage = bool(self._transition.withheld_until_s) or any(
             record.epoch < self.epoch for record in self._records.values()
         )
         if has_changes:
@@ -490,12 +481,7 @@
 
     def build_heritage(self, now_s: float) -> Heritage:
         """Return what belongs to `list_records` from before the last restore."""
-        return Heritage(
-            former=self._former,
-            age_s=max(0.0, now_s - self._epoch_s),
-            kept=frozenset(self._kept_until_s),
-            withheld=frozenset(self._withheld_until_s),
-        )
+        return self._transition.build_heritage(now_s)
 
     def list_changes(self, after: Position) -> list[Record] | None:
         """Return the changes after a position; None if the change log does not reach back to it."""
--- a/mulberryswitch/directory/tests/test_restore.py
+++ b/mulberryswitch/directory/tests/test_restore.py
@@ -1,5 +1,6 @@
 """Tests of the replica when the store comes back from an older copy and repeats revisions."""
 
+import itertools
 import unittest
 from collections.abc import Sequence
 
@@ -24,6 +25,7 @@
     """Fixture with a replica at revision 16 of the first epoch; the copy is of revision 14."""
 
     def setUp(self):
+        self.confirmed_s = 0
         self.directory = Directory(decode=decode)
         self.config = build_config_record(14, version=4, routes={443: "feeds"}, epoch=1)
         self.apply_snapshot([self.config, build_target_record("t1", 5, epoch=1)], Position(1, 14))
@@ -48,7 +50,10 @@
         self.apply_snapshot(list(known.values()), Position(2, revision), now_s=now_s)
 
     def get_serving(self, now_s: float, service: str = "feeds") -> set[str]:
-        self.directory.apply_due(now_s=now_s, confirmed_s=now_s)
+        """Return the serving targets while the store confirms its position every second."""
+        for time_s in itertools.chain(range(self.confirmed_s, int(now_s) + 1), [now_s]):
+            self.directory.apply_due(now_s=time_s, confirmed_s=time_s)
+        self.confirmed_s = int(now_s)
         return {target.key for target in self.directory.list_serving(service, now_s)}
 
 
@@ -152,13 +157,30 @@
         self.assertTrue(departure.is_gone(RESTORED_S + 2.6))
 
     def test_target_stays_in_use_while_the_store_does_not_confirm_that_it_is_missing(self):
-        """The store may be away again before the target has registered."""
         self.restore()
         self.directory.apply_due(now_s=RESTORED_S + 30.0, confirmed_s=RESTORED_S + 2.4)
         self.assertIn("t2", self.directory.targets)
-        self.directory.apply_due(now_s=RESTORED_S + 30.1, confirmed_s=RESTORED_S + 30.0)
+        self.directory.apply_due(now_s=RESTORED_S + 30.1, confirmed_s=RESTORED_S + 2.6)
         self.assertNotIn("t2", self.directory.targets)
 
+    def check_second_outage(self, returned_s: float) -> None:
+        """Check that the target has its full time from the second return of the store on."""
+        self.assertIn("t2", self.get_serving(returned_s + 2.4))
+        self.assertNotIn("t2", self.get_serving(returned_s + 2.6))
+
+    def test_target_stays_in_use_after_an_outage_that_its_reader_saw(self):
+        self.restore()
+        self.assertIn("t2", self.get_serving(RESTORED_S + 1.0))
+        self.directory.observe_outage_end(RESTORED_S + 2.0)
+        self.check_second_outage(RESTORED_S + 2.0)
+
+    def test_target_stays_in_use_after_an_outage_without_confirmations(self):
+        self.restore()
+        self.directory.apply_due(now_s=RESTORED_S + 30.0, confirmed_s=RESTORED_S + 1.0)
+        self.directory.apply_due(now_s=RESTORED_S + 30.1, confirmed_s=RESTORED_S + 30.0)
+        self.confirmed_s = int(RESTORED_S) + 30
+        self.check_second_outage(RESTORED_S + 30.0)
+
     def test_restarted_process_is_preferred_to_its_predecessor_in_the_copy(self):
         former = build_target_record("t2", 6, epoch=2, boot_ms=3)
         self.restore(former)
@@ -205,6 +227,14 @@
         self.directory.apply_due(now_s=RESTORED_S + 30.0, confirmed_s=RESTORED_S + 2.0)
         self.assertEqual(self.directory.list_serving("feeds", RESTORED_S + 30.0), [])
 
+    def test_withheld_record_is_not_used_just_after_another_outage(self):
+        """The lease of an ended process does not end while the store is away."""
+        self.leave()
+        self.restore()
+        self.directory.observe_outage_end(RESTORED_S + 14.0)
+        self.assertEqual(self.get_serving(RESTORED_S + 28.0), set())
+        self.assertEqual(self.get_serving(RESTORED_S + 30.0), {"t1"})
+
     def test_target_that_registers_again_is_used_at_once(self):
         self.leave()
         self.restore()
--- a/mulberryswitch/directory/tests/test_restore_machine.py
+++ b/mulberryswitch/directory/tests/test_restore_machine.py
@@ -26,7 +26,7 @@
 GRACE_S = 2.5
 # The store may hold a record of an ended process for this time after a restore.
 COPY_S = 15.0
-SETTLED_S = 20.0
+SETTLED_S = 20
 
 replica_numbers = st.integers(0, REPLICAS - 1)
 target_names = st.sampled_from(NAMES)
@@ -288,8 +288,11 @@
         for _ in range(2):
             for number in range(REPLICAS):
                 self.read(number)
-            self.apply_due()
-            self.now_s += SETTLED_S
+            for _ in range(SETTLED_S):
+                self.now_s += 1.0
+                for view in self.views:
+                    view.confirmed_s = self.now_s
+                self.apply_due()
         expected = {name: state["draining"] for name, state in self.live.items()}
         for replica in self.replicas:
             targets = {key: target.is_draining for key, target in replica.targets.items()}
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -174,7 +175,7 @@
             await self.directory_sync.pull(members=self.membership.live(), now_s=now_s)
 
     def _apply_due(self, now_s: float) -> None:
-        if now_s <= self.directory.due_s:
+        if self.directory.due_s == math.inf:
             return
         confirmed_s = now_s - self.get_confirmed_age_s()
         if self.directory.apply_due(now_s=now_s, confirmed_s=confirmed_s):
--- a/mulberryswitch/front/_store_reader.py
+++ b/mulberryswitch/front/_store_reader.py
@@ -97,6 +97,7 @@
         now_s = self.clock()
         if self.planner.failures:
             log.info("store is reachable again", extra={"failures": self.planner.failures})
+            self.directory.observe_outage_end(now_s)
         size_bytes = sum(len(record.value or b"x") for record in result.records)
         self.planner.observe_success(size_bytes=size_bytes, now_s=now_s)
         if apply(records=result.records, position=result.position, now_s=now_s):
--- a/mulberryswitch/front/tests/test_restored_store.py
+++ b/mulberryswitch/front/tests/test_restored_store.py
@@ -192,7 +192,7 @@
     def test_heritage_is_fetched_once(self):
         source = self.build_source(Position(2, 15), keeps_heritage=True)
         self.assertFalse(self.sync._is_ahead(source))
-        self.directory.needs_heritage = True
+        self.directory._transition.needs_heritage = True
         self.assertTrue(self.sync._is_ahead(source))
 
     def test_cached_part_is_not_given_for_another_epoch(self):
