Move the targets of a replica and their indexes out of Directory

No change of behaviour: `TargetTable` lists targets, remembers departures and keeps the indexes by token and service. The dicts are filled in place now, so that the directory can hand them out without another call for each packet.

--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -1,6 +1,5 @@
 """Replica of the routes and targets at one position of the store."""
 
-import itertools
 import logging
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
@@ -9,6 +8,7 @@
 from ._departures import LAPSE_GRACE_S, Departure, DepartureCause
 from ._records import START, DecodeRecord, Manifest, Position, Record, Route, RouteKey, Target
 from ._restore import CopyVerdict, EpochTransition, Heritage, judge_copied_target
+from ._target_table import TargetTable
 from ._tokens import build_token
 
 __all__ = ["Directory"]
@@ -46,7 +46,6 @@
 
     def __init__(self, *, decode: DecodeRecord, keep_departed_s: float = 60.0):
         self.decode = decode
-        self.keep_departed_s = keep_departed_s
         self.position = START
         self.version = 0
         self.idle_timeout_s = 60.0
@@ -54,13 +53,15 @@
         self.keeps_heritage = False
         self.routes: dict[RouteKey, Route] = {}
         self.removed_routes: set[RouteKey] = set()
-        self.targets: dict[str, Target] = {}
-        self.by_token: dict[int, Target] = {}
-        self.cold_until_s: dict[str, float] = {}
-        self._departures: dict[int, Departure] = {}
+        self._table = TargetTable(
+            get_created_revision=lambda key: self._records[key].created_revision,
+            keep_departed_s=keep_departed_s,
+        )
+        self.targets = self._table.targets
+        self.by_token = self._table.by_token
+        self.cold_until_s = self._table.cold_until_s
         self._records: dict[str, Record] = {}
         self._log = ChangeLog()
-        self._by_service: dict[str, list[Target]] = {}
         self._config_key: str | None = None
         self._transition = EpochTransition()
 
@@ -97,25 +98,15 @@
 
     def find_departure(self, token: int) -> Departure | None:
         """Return the departure of the target with `token`; None if none is remembered."""
-        return self._departures.get(token)
+        return self._table.find_departure(token)
 
     def list_tokens(self) -> list[int]:
         """Return the tokens of all targets, including the departed ones that are remembered."""
-        return [*self.by_token, *self._departures]
+        return self._table.list_tokens()
 
     def list_serving(self, service: str, now_s: float) -> list[Target]:
-        """Return the targets that accept new flows of `service`.
-
-        If at least half of a service's records lapsed together, a store outage is more likely than
-        a failure of the targets, so these remain in use until their grace period ends.
-        """
-        live = self._by_service.get(service, [])
-        lapsed = [
-            departure.target
-            for departure in self._departures.values()
-            if departure.target.service == service and departure.is_in_grace_period(now_s)
-        ]
-        return [*live, *lapsed] if len(lapsed) >= max(1, len(live)) else live
+        """Return the targets that accept new flows of `service`; see ``TargetTable``."""
+        return self._table.list_serving(service, now_s)
 
     # Changes
 
@@ -199,7 +190,7 @@
             transition.settle(key)
             content = self.decode(self._records[key])
             if isinstance(content, Target):
-                self._apply_target(content, now_s)
+                self._table.list_target(content, now_s)
         return self._complete_update(self.position, True, now_s)
 
     def observe_outage_end(self, now_s: float) -> None:
@@ -260,15 +251,15 @@
         self._records[record.key] = record
         self._transition.settle(record.key)
         if target is not None:
-            self._apply_target(target, now_s)
+            self._table.list_target(target, now_s)
         elif record.key in self.targets:
-            self._apply_departure(record.key, DepartureCause.UNREADABLE, now_s)
+            self._table.remove_target(record.key, DepartureCause.UNREADABLE, now_s)
         return True
 
     def _remove_record(self, key: str, now_s: float) -> bool:
         created_revision = self._records.pop(key).created_revision
         self._transition.settle(key)
-        self._apply_departure(key, DepartureCause.LAPSED, now_s, created_revision)
+        self._table.remove_target(key, DepartureCause.LAPSED, now_s, created_revision)
         return True
 
     # Configuration
@@ -320,7 +311,7 @@
     def _apply_copied(self, record: Record, target: Target | None, now_s: float) -> bool:
         """Apply a record that may have been written before the restore."""
         listed = self.targets.get(record.key)
-        departure = self._departures.get(build_token(target.identity)) if target else None
+        departure = self.find_departure(build_token(target.identity)) if target else None
         verdict = judge_copied_target(
             record=record, copied=target, listed=listed, departure=departure, now_s=now_s
         )
@@ -390,7 +381,7 @@
             return is_newer and self._apply_config(record, content)
         if not isinstance(content, Target):
             return False
-        departure = self._departures.get(build_token(content.identity))
+        departure = self.find_departure(build_token(content.identity))
         if known is None and departure is not None and departure.is_gone(now_s):
             return False
         is_known = known is not None and record.position <= known.position
@@ -399,42 +390,6 @@
             return False
         return self._list_record(record, content, now_s)
 
-    # Targets
-
-    def _apply_target(self, target: Target, now_s: float) -> None:
-        former = self.targets.get(target.key)
-        self.targets[target.key] = target
-        self.cold_until_s[target.key] = now_s + target.cold_s
-        if former is None or (former.is_draining, former.boot_ms) != (
-            target.is_draining,
-            target.boot_ms,
-        ):
-            log.info(
-                "target listed",
-                extra={
-                    "target": target.key,
-                    "service": target.service,
-                    "zone": target.zone,
-                    "address": "{}:{}".format(*target.address),
-                    "draining": target.is_draining,
-                    "boot_ms": target.boot_ms,
-                },
-            )
-
-    def _apply_departure(
-        self, key: str, cause: DepartureCause, now_s: float, created_revision: int = 0
-    ) -> None:
-        target = self.targets.pop(key, None)
-        self.cold_until_s.pop(key, None)
-        if target is None:
-            return
-        if target.is_draining:
-            cause = DepartureCause.LEFT
-        self._departures[build_token(target.identity)] = Departure(
-            target=target, departed_s=now_s, cause=cause, created_revision=created_revision
-        )
-        log.info("target departed", extra={"target": key, "cause": cause.value})
-
     def _complete_update(self, position: Position, has_changes: bool, now_s: float) -> bool:
         self.position = max(self.position, position)
         self.keeps_heritage = bool(self._transition.withheld_until_s) or any(
@@ -442,34 +397,9 @@
         )
         if has_changes:
             self.changed_s = now_s
-            self._rebuild_indexes(now_s)
+            self._table.rebuild_indexes(now_s)
         return has_changes
 
-    def _rebuild_indexes(self, now_s: float) -> None:
-        by_token: dict[int, Target] = {}
-        # Two identities may collide on a token. The older target keeps it, because its open flows
-        # carry it; the newer one receives no flows.
-        for target in sorted(self.targets.values(), key=self._get_age_order):
-            by_token.setdefault(build_token(target.identity), target)
-        self.by_token = by_token
-        self._departures = {
-            token: departure
-            for token, departure in self._departures.items()
-            if now_s - departure.departed_s <= self.keep_departed_s and token not in by_token
-        }
-        available = sorted(
-            (target for target in by_token.values() if not target.is_draining),
-            key=lambda target: (target.service, target.key),
-        )
-        self._by_service = {
-            service: list(group)
-            for service, group in itertools.groupby(available, key=lambda target: target.service)
-        }
-
-    def _get_age_order(self, target: Target) -> tuple[int, int, str]:
-        # A restore changes revisions, but not the start of a process.
-        return target.boot_ms, self._records[target.key].created_revision, target.key
-
     # Exchange with peers
 
     def list_records(self) -> list[Record]:
