Tests of epochs in the store's answers, in announcements and on the relayed path

The client takes a watch that succeeds in a later epoch for lost history, an earlier or malformed epoch and pages of two epochs for errors; changes in an announcement of another epoch are not applied. The relayed path has no revisions: its platform assigns versions, and VMs order configurations by version and digest. A restored platform therefore changes nothing until a version above the one in force; one that is given out again with other content ends at the same content everywhere. This is what docs/operators/configuration.md asks of operators.

--- a/mulberryswitch/configuration/tests/test_exchange.py
+++ b/mulberryswitch/configuration/tests/test_exchange.py
@@ -166,6 +166,23 @@
         fleet.run(40)
         self.assertEqual({version for version, _ in fleet.collect_keys()}, {3})
 
+    def test_platform_restored_from_a_copy_changes_nothing_until_a_higher_version(self):
+        """Guards against a revert, and VMs that differ, when versions are given out again."""
+        fleet = build_fleet(8, build_document())
+        fleet.publish("vm0", build_document(build_service("a", count=2)), 7)
+        fleet.run(20)
+        (key,) = set(fleet.collect_keys())
+        fleet.publish("vm0", build_document(), 4)
+        fleet.run(20)
+        self.assertEqual(set(fleet.collect_keys()), {key})
+        for vm, count in (("vm0", 3), ("vm1", 4)):
+            fleet.publish(vm, build_document(build_service("a", count=count)), 7)
+        fleet.run(20)
+        self.assertEqual(len(set(fleet.collect_keys())), 1)
+        fleet.publish("vm2", build_document(build_service("a", count=5)), 8)
+        fleet.run(20)
+        self.assertEqual({version for version, _ in fleet.collect_keys()}, {8})
+
 
 class StartTest(unittest.TestCase):
     def test_starting_vm_prefers_peers_to_a_stale_platform(self):
--- a/mulberryswitch/front/tests/test_restored_store.py
+++ b/mulberryswitch/front/tests/test_restored_store.py
@@ -4,8 +4,11 @@
 from dataclasses import replace
 from random import Random
 
+from mulberryswitch.contracts import FEED_CODEC, FeedAnnounce
 from mulberryswitch.directory import START, Position, Source
+from mulberryswitch.directory.tests.builders import build_record
 from mulberryswitch.front import Front
+from mulberryswitch.front._pulls import pack_records
 from mulberryswitch.platform import ADAPTER
 from standins.store import StoreFault
 
@@ -152,7 +155,8 @@
 
     def setUp(self):
         front = Front(settings=build_settings(9), adapter=ADAPTER, rng=Random(1))
-        self.sync = front.peers.directory_sync
+        self.peers = front.peers
+        self.sync = self.peers.directory_sync
         self.directory = self.sync.directory
         self.directory.position = Position(2, 15)
         self.directory.version = 8
@@ -189,6 +193,27 @@
         self.assertTrue(self.sync._is_ahead(source))
         self.assertFalse(self.sync._has_heritage(source))
 
+    def test_changes_in_an_announcement_of_another_epoch_are_not_applied(self):
+        change = build_record("r", 16, epoch=3)
+        for epoch, revision in ((1, 15), (3, 15), (2, 16)):
+            announce = FeedAnnounce(
+                fleet=self.peers.fleet,
+                vm="front-2",
+                zone="za",
+                epoch=epoch,
+                revision=16,
+                version=8,
+                keeps_heritage=False,
+                age_ms=0,
+                is_reader=True,
+                loads=(),
+                after=15,
+                packed=pack_records([replace(change, epoch=epoch)]),
+            )
+            with self.subTest(epoch):
+                self.peers._receive(FEED_CODEC.encode(announce), ("127.0.0.1", 9))
+                self.assertEqual(self.directory.position, Position(2, revision))
+
     def test_heritage_is_fetched_once(self):
         source = self.build_source(Position(2, 15), keeps_heritage=True)
         self.assertFalse(self.sync._is_ahead(source))
--- a/mulberryswitch/platform/tests/test_store.py
+++ b/mulberryswitch/platform/tests/test_store.py
@@ -1,11 +1,12 @@
 """Tests of the client of the users' store against incomplete and repeated answers."""
 
 import asyncio
+import itertools
 import json
 import unittest
 
 from mulberryswitch.directory import Position
-from mulberryswitch.front import StoreError
+from mulberryswitch.front import HistoryLostError, StoreError
 from mulberryswitch.platform import StoreClient
 from mulberryswitch.platform._store import MAX_PAGES
 
@@ -20,15 +21,17 @@
 
 
 class StoreClientTestCase(unittest.IsolatedAsyncioTestCase):
-    """Fixture with a server that answers each request with the next of some bodies."""
+    """Fixture with a server that answers each request with the next of some bodies and epochs."""
 
-    async def connect(self, bodies) -> StoreClient:
-        remaining = iter(bodies)
+    async def connect(self, bodies, epochs=()) -> StoreClient:
+        remaining = zip(bodies, itertools.chain(epochs, itertools.repeat(0)), strict=False)
 
         async def serve(reader, writer):
             while await reader.read(1000):
-                body = json.dumps(next(remaining)).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                content, epoch = next(remaining)
+                body = json.dumps(content)
+                head = f"HTTP/1.1 200 OK\r\nStore-Era: {epoch}\r\nContent-Length: {len(body)}"
+                writer.write(f"{head}\r\n\r\n{body}".encode())
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
@@ -60,6 +63,32 @@
                     await client.read_all()
 
 
+class EpochTest(StoreClientTestCase):
+    """Revisions of a store that was restored from an older copy must not be compared."""
+
+    async def watch(self, epoch: int | str) -> Position:
+        changes = {"events": [build_item("a", 9)], "storeRevision": 9}
+        client = await self.connect([changes], [epoch])
+        return (await client.watch(after=Position(2, 5), wait_s=0.1)).position
+
+    async def test_watch_that_succeeds_in_a_later_epoch_has_skipped_changes(self):
+        self.assertEqual(await self.watch(2), Position(2, 9))
+        with self.assertRaises(HistoryLostError) as caught:
+            await self.watch(3)
+        self.assertEqual(caught.exception.epoch, 3)
+
+    async def test_earlier_or_malformed_epoch_is_an_error(self):
+        for epoch in (1, "", "-1", "x", "²"):
+            with self.subTest(epoch), self.assertRaises(StoreError) as caught:
+                await self.watch(epoch)
+            self.assertNotIsInstance(caught.exception, HistoryLostError)
+
+    async def test_pages_of_two_epochs_are_not_joined(self):
+        client = await self.connect([build_page("a", truncated=True), build_page("b")], [1, 2])
+        with self.assertRaises(StoreError):
+            await client.read_all()
+
+
 class WatchTest(StoreClientTestCase):
     """A second copy of an answer must not be taken for the answer to the next watch."""
 
