Give VMs that are asked last for a shard's state as long as the first ones

An open flow was sent to another target after a zone was cut and VMs failed and joined, although a VM that could be reached knew its target.

Two answers of vm-2, which held the base and the counts, were lost; the owner started with a new base of the active targets. Ruled out: a base that is chosen wrongly among replicas, none had arrived.

The new test failed before (role OWNER, not AWAITING_STATE).

--- a/mulberryswitch/routing/_controller.py
+++ b/mulberryswitch/routing/_controller.py
@@ -319,6 +319,8 @@
         self._has_requested_more = True
         others = sorted(self.view.live_vms - self.replicas.keys() - {self.vm})
         self._pending_requests = set(others[:MAX_STATE_REQUESTS])
+        # These VMs get the time that the first ones had.
+        self._role_deadline_s = min(self._wait_deadline_s, now_s + STATE_REQUEST_TIMEOUT_S)
         return self._request_states(self._pending_requests)
 
     def _tick_awaiting_state(self, now_s: float) -> list[Outgoing]:
--- a/mulberryswitch/routing/tests/test_bases.py
+++ b/mulberryswitch/routing/tests/test_bases.py
@@ -26,8 +26,8 @@
     return controller
 
 
-def hand_over(controller: ShardController, base: tuple[str, ...]) -> None:
-    state = ShardState(
+def build_state(base: tuple[str, ...], role: ShardRole) -> ShardState:
+    return ShardState(
         service=SERVICE,
         shard=0,
         sequence=1,
@@ -36,8 +36,12 @@
         pins=(),
         closed=(),
         counts=(0,) * len(base),
-        role=ShardRole.HANDOVER,
+        role=role,
     )
+
+
+def hand_over(controller: ShardController, base: tuple[str, ...]) -> None:
+    state = build_state(base, ShardRole.HANDOVER)
     controller.observe_state(sender="vm-2", state=state, now_s=START_S)
 
 
@@ -75,5 +79,26 @@
         self.assertEqual(found, opened)
 
 
+class TakeoverTest(unittest.TestCase):
+    """After several failures at once, only a VM that is no standby may hold a replica."""
+
+    def test_other_vms_have_as_long_to_answer_as_the_standbys(self):
+        flows = FlowShard(service=SERVICE, shard=0)
+        flows.apply_targets(targets=make_targets(4), connections=4000, now_s=START_S)
+        controller = ShardController(vm="vm-1", flows=flows)
+        controller.apply_view(build_owner(4).view, now_s=START_S)
+        requested = []
+        for quarter in range(1, 6):
+            messages = controller.decide_tick(now_s=START_S + quarter / 4)
+            requested += [message.vm for message in messages]
+        self.assertEqual(controller.role, Role.AWAITING_STATE)
+        self.assertGreaterEqual(requested.count("vm-2"), 3)
+        # Earlier answers were lost.
+        copy = build_state(OLD_BASE, ShardRole.COPY)
+        controller.observe_state(sender="vm-2", state=copy, now_s=START_S + 1.3)
+        controller.decide_tick(now_s=START_S + 3.0)
+        self.assertEqual((controller.role, controller.flows.base), (Role.OWNER, OLD_BASE))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/mulberryswitch/routing/tests/test_fleet.py
+++ b/mulberryswitch/routing/tests/test_fleet.py
@@ -314,3 +314,7 @@
     def test_fleet_with_seed_20(self):
         """Guards against a flow in every zone that resolves to another target."""
         self.run_seed(20)
+
+    def test_fleet_with_seed_27(self):
+        """Guards against a flow that another owner resolves, just after a cut has healed."""
+        self.run_seed(27)
