Soak: revisions that a restored store gives out again reach VMs that knew them

The soak's restore found nothing on the code before the fix: the configuration and all records were written again at once, so the revisions that VMs knew were passed before the next change, and a later version healed what had been skipped.

Now some versions are lost with each restore, the version is written again as one change, at once or late, and the next version may follow in the same instant; the records of targets come later.

The new test plays one such restore with three real VM processes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 
 from standins._run import exit_on_sigterm
 
+from ._faults import generate_faults
 from ._run import VMS, run_soak
 
 REGRESSION_SEEDS = Path(__file__).parent / "cases.txt"
@@ -63,7 +64,8 @@
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         folder = keep / str(seed) if keep else Path(name)
         folder.mkdir(parents=True, exist_ok=True)
-        result = await run_soak(seed=seed, length_s=length_s, folder=folder, vms=vms)
+        faults = generate_faults(seed=seed, length_s=length_s)
+        result = await run_soak(seed=seed, faults=faults, folder=folder, vms=vms)
     line = {
         "seed": seed,
         "faults": len(result.faults),
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -172,9 +172,12 @@
         if self.store.has_key(key):
             self.store.delete(key)
 
-    def write_again(self) -> None:
-        """Write what a restored store lacks: the configuration and the records of targets."""
+    def write_config_again(self) -> None:
+        """Write the present version to a restored store, which may hold an older one."""
         self._write_config()
+
+    def write_records_again(self) -> None:
+        """Write the records of targets to a restored store, which may lack them."""
         for target in self.targets:
             if target.name in self._stored_names:
                 self._put_record(target)
--- a/soak/_injector.py
+++ b/soak/_injector.py
@@ -22,6 +22,9 @@
 RENEWAL_DELAY_S = 1.5
 # Age of the copy from which the store comes back.
 MIN_COPY_AGE_S, MAX_COPY_AGE_S = 1, 9
+# The second writing is one change, so that the next ones get revisions that VMs have seen before.
+MIN_LOST_CHANGES = 3
+LOST_CHANGES_READ_S = 0.6
 STORM_CHANGES = 8
 STORM_GAP_S = 0.1
 MIN_LIVE_TARGETS = {FEEDS: 3, SCANS: 1}
@@ -194,15 +197,27 @@
         self.deployment.store.drop_history()
 
     async def _restore_store(self, fault: Fault) -> None:
-        """Bring an older copy back; what was written since is written again, some time later."""
+        """Bring an older copy back; what was written since is written again, some time later.
+
+        The next change of the configuration may follow at once, and so get a repeated revision.
+        """
         store = self.deployment.store
         age_s = MIN_COPY_AGE_S + fault.selector % MAX_COPY_AGE_S
         # The first configuration was written before all copies.
-        store.restore(at_s=max(store.clock() - age_s, self._started_s))
+        copied_s = max(store.clock() - age_s, self._started_s)
+        for _ in range(MIN_LOST_CHANGES):
+            self.deployment.add_route()
+        await asyncio.sleep(LOST_CHANGES_READ_S)
+        store.restore(at_s=copied_s)
         await self._refuse_reads(fault)
         delay_s = RENEWAL_DELAY_S * (fault.selector % 4) / 3
-        await asyncio.sleep(delay_s)
-        self.deployment.write_again()
+        config_delay_s = delay_s if fault.selector % 8 < 4 else 0.0
+        await asyncio.sleep(config_delay_s)
+        self.deployment.write_config_again()
+        changes = (self.deployment.remove_route, self.deployment.add_route, lambda: None)
+        changes[fault.selector % len(changes)]()
+        await asyncio.sleep(delay_s - config_delay_s)
+        self.deployment.write_records_again()
         await asyncio.sleep(LEASE_S - delay_s)
         self.deployment.expire_gone()
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,7 +11,7 @@
 
 from ._callers import Caller, RequestKind
 from ._deployment import Deployment
-from ._faults import Fault, generate_faults
+from ._faults import Fault
 from ._injector import Injector
 from ._judge import RECOVERY_S, Finding, collect_findings
 from ._layout import ZONES, Layout, reserve_block
@@ -140,15 +140,17 @@
             await asyncio.sleep(PROBE_INTERVAL_S / len(self.vm_specs))
 
 
-async def run_soak(*, seed: int, length_s: float, folder: Path, vms: int = VMS) -> SoakResult:
-    """Run one seed.
+async def run_soak(
+    *, seed: int, faults: tuple[Fault, ...], folder: Path, vms: int = VMS
+) -> SoakResult:
+    """Run load and faults; a fault-free phase follows.
 
     Parameters
     ----------
     seed : int
-        Seed of the faults and the load.
-    length_s : float
-        Duration of the fault phase in seconds; a fault-free phase follows.
+        Seed of the load.
+    faults : tuple of Fault
+        The faults, in the order of their times.
     folder : Path
         Existing folder for the settings and logs of the VMs.
     vms : int
@@ -159,7 +161,6 @@
     SoakResult
     """
     run = _SoakRun(seed=seed, folder=folder, vms=vms)
-    faults = generate_faults(seed=seed, length_s=length_s)
     tasks: list[asyncio.Task] = []
     try:
         await run.start()
--- a/soak/tests/test_injection.py
+++ b/soak/tests/test_injection.py
@@ -70,7 +70,7 @@
             patch("soak._processes.VmProcesses.stop", lambda processes: stopped.append(processes)),
         ):
             with self.assertRaises(OSError):
-                asyncio.run(run_soak(seed=3, length_s=1.0, folder=Path(folder), vms=1))
+                asyncio.run(run_soak(seed=3, faults=(), folder=Path(folder), vms=1))
         self.assertEqual(len(stopped), 1)
 
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from soak._faults import FaultKind, generate_faults
+from soak._faults import Fault, FaultKind, generate_faults
 from soak._run import run_soak
 from soak._wire import ACK, Segment, decode, encode
 
@@ -44,12 +44,20 @@
 class SoakTest(unittest.TestCase):
     """Guards the documented guarantees with VM processes and a few faults."""
 
-    def test_a_short_run_has_no_findings(self):
+    def check_run(self, faults: tuple[Fault, ...]) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            result = asyncio.run(run_soak(seed=SEED, length_s=LENGTH_S, folder=Path(folder), vms=3))
+            result = asyncio.run(run_soak(seed=SEED, faults=faults, folder=Path(folder), vms=3))
         self.assertEqual(result.findings, [])
         self.assertGreater(result.answered, 0)
 
+    def test_a_short_run_has_no_findings(self):
+        self.check_run(generate_faults(seed=SEED, length_s=LENGTH_S))
+
+    def test_version_whose_revision_was_given_out_before_is_in_force(self):
+        """The store comes back from a copy, and the next version removes a route."""
+        fault = Fault(kind=FaultKind.STORE_RESTORE, at_s=1.0, duration_s=0.5, selector=9)
+        self.check_run((fault,))
+
 
 if __name__ == "__main__":
     unittest.main()
