--- a/mulberryswitch/forwarding/tests/test_simulation.py
+++ b/mulberryswitch/forwarding/tests/test_simulation.py
@@ -149,6 +149,13 @@
                 unopened += sum(not report.has_opened for report in failed)
         self.assertLessEqual(unopened / asked, 0.001)
 
+    def test_every_report_that_has_not_opened_is_served(self):
+        for seed, is_cut in itertools.product(SEEDS, (False, True)):
+            with self.subTest(seed=seed, is_cut=is_cut):
+                reports = self.run_reports(seed, "crashed", is_cut)
+                failed = [report for report in reports if report.result == "failed"]
+                self.assertEqual([report for report in failed if not report.has_opened], [])
+
 
 class ZoneCutTest(SimulationTestCase):
     """A zone that is partitioned from the others for 5 s must serve with its own targets."""
