--- a/mulberryswitch/routing/_controller.py
+++ b/mulberryswitch/routing/_controller.py
@@ -5,6 +5,7 @@
 from mulberryswitch.contracts import Pin, ShardAck, ShardRole, ShardState
 
 from ._roles import Outgoing, Role, ShardView
+from ._sender import StateSender
 from ._shard import FlowShard
 from ._streams import Replica, StateStream
 
@@ -17,8 +18,6 @@
 REPLICA_RETENTION_S = 60.0
 REBASE_ACK_TIMEOUT_S = 10.0
 MAX_STATE_REQUESTS = 64
-# A VM that takes over can exceed a connection limit only by the flows opened within this interval.
-COUNTS_INTERVAL_S = 1.0
 # Time for which other VMs hold a silent VM under suspicion before one of them takes over.
 SUSPICION_S = 1.5
 # Without a tick for this long the flow table stops resolving unknown flows: the process was paused,
@@ -47,7 +46,7 @@
         self.flows = flows
         self.role = Role.IDLE
         self.view = ShardView(owner="", previous_owner="", standbys=(), live_vms=frozenset())
-        self.streams: dict[str, StateStream] = {}
+        self._sender = StateSender(flows=flows)
         self.replicas: dict[str, Replica] = {}
         # VM that packets are relayed to while this VM waits for the state of the shard.
         self._interim_server = ""
@@ -58,11 +57,6 @@
         self._has_requested_more = False
         self._request_deadline_s = 0.0
         self._serving_since_s = 0.0
-        # Highest sequence number of all streams. A new stream continues from it, since its receiver
-        # would otherwise take the messages for duplicates.
-        self._sequence = 0
-        self._sent_counts: tuple[int, ...] = ()
-        self._counts_sent_s = 0.0
         self._role_deadline_s = 0.0
         self._wait_deadline_s = 0.0
         self._rebase_deadline_s = 0.0
@@ -70,6 +64,11 @@
         # Acknowledgements of handovers that wait until this VM serves the shard.
         self._deferred_acks: dict[str, Outgoing] = {}
 
+    @property
+    def streams(self) -> dict[str, StateStream]:
+        """Streams to the standbys, or to the successor, by VM."""
+        return self._sender.streams
+
     @property
     def owns(self) -> bool:
         """Whether this VM serves the shard."""
@@ -153,7 +152,7 @@
             # The receiver serves with another base, so it needs the flows at base targets too.
             stream.all_flows = True
         stream.apply_ack(ack)
-        outgoing = self._send_snapshot(stream, now_s) if stream.needs_snapshot else []
+        outgoing = self._sender.send_snapshot(stream, now_s) if stream.needs_snapshot else []
         self.finish_handover(now_s=now_s)
         return outgoing
 
@@ -195,19 +194,22 @@
         self._tick_rebase(now_s)
         if now_s >= self._request_deadline_s:
             self._pending_requests.clear()
-        return self._request_states(self._pending_requests) + self._send_due_changes(now_s)
+        requests = self._request_states(self._pending_requests)
+        is_handing_over = self.role is Role.HANDING_OVER
+        return requests + self._sender.send_due_changes(now_s, include_recent=is_handing_over)
 
     def finish_handover(self, *, now_s: float) -> None:
         """Stop serving once the successor has acknowledged everything, or at the timeout."""
         if self.role is not Role.HANDING_OVER:
             return
-        is_settled = all(stream.is_settled for stream in self.streams.values())
-        if (is_settled and not self.flows.has_changes) or now_s >= self._role_deadline_s:
+        if (
+            self._sender.is_settled and not self.flows.has_changes
+        ) or now_s >= self._role_deadline_s:
             self.replicas = {vm: r for vm, r in self.replicas.items() if not r.is_partial}
             # Kept in case the successor fails before it has replicated the shard.
             self.replicas[self.vm] = Replica.build_copy(self.flows, now_s=now_s)
             self.role = Role.IDLE
-            self.streams = {}
+            self._sender.streams = {}
             self.flows.apply_reset()
 
     # Role transitions
@@ -227,15 +229,15 @@
         self.flows.awaiting_state = False
         self._role_deadline_s = now_s + HANDOVER_TIMEOUT_S
         stream = StateStream(vm=owner, role=ShardRole.HANDOVER)
-        self.streams = {owner: stream} if owner else {}
-        return self._send_snapshot(stream, now_s) if owner else []
+        self._sender.streams = {owner: stream} if owner else {}
+        return self._sender.send_snapshot(stream, now_s) if owner else []
 
     def _become_owner(self) -> None:
         self.role = Role.OWNER
         self.flows.awaiting_state = False
         self._pending_requests.clear()
         kept = {vm: s for vm, s in self.streams.items() if s.role is ShardRole.OWNER}
-        self.streams = {vm: kept.get(vm) or StateStream(vm=vm) for vm in self.view.standbys}
+        self._sender.streams = {vm: kept.get(vm) or StateStream(vm=vm) for vm in self.view.standbys}
 
     def _take_over(self, now_s: float) -> list[Outgoing]:
         """Start serving from the replicas: the newest base, and the pins of all replicas."""
@@ -375,8 +377,7 @@
         if differs and state.role == ShardRole.HANDOVER:
             if self.flows.is_newer_base(replica.base):
                 self.flows.apply_base(replica.base)
-                for stream in self.streams.values():
-                    stream.needs_snapshot = True
+                self._sender.schedule_snapshots()
             return self._build_ack(sender, state.sequence, missing=True)
         return ack
 
@@ -384,11 +385,9 @@
         if self.role is Role.OWNER and self.flows.needs_rebase(now_s=now_s):
             self.flows.apply_rebase_start()
             self._rebase_deadline_s = now_s + REBASE_ACK_TIMEOUT_S
-            for stream in self.streams.values():
-                stream.needs_snapshot = True
+            self._sender.schedule_snapshots()
             return
-        is_settled = all(stream.is_settled for stream in self.streams.values())
-        if self.flows.rebasing and (is_settled or now_s >= self._rebase_deadline_s):
+        if self.flows.rebasing and (self._sender.is_settled or now_s >= self._rebase_deadline_s):
             self.flows.apply_rebase_end()
 
     def _drop_stale_replicas(self, now_s: float) -> None:
@@ -415,67 +414,5 @@
     def _answer_request(self, vm: str, now_s: float) -> list[Outgoing]:
         """Send a one-off snapshot of what this VM holds; it is empty if that is nothing."""
         if self.owns:
-            return self._send_snapshot(StateStream(vm=vm), now_s)
-        usable = sorted(
-            (replica for replica in self.replicas.values() if replica.is_usable),
-            key=lambda replica: replica.updated_s,
-        )
-        # The newest replica may come from the requesting VM itself, so the pins of all are sent.
-        pins = {flow: target for replica in usable for flow, target in replica.pins.items()}
-        replica = usable[-1] if usable else Replica()
-        stream = StateStream(vm=vm, role=ShardRole.COPY)
-        states = stream.restart(
-            service=self.flows.service,
-            shard=self.flows.shard,
-            base=replica.base,
-            pins=[Pin(flow=flow, target=target) for flow, target in pins.items()],
-            counts=tuple(replica.counts.get(name, 0) for name in replica.base),
-            after=self._sequence,
-            now_s=now_s,
-        )
-        self._sequence = max(self._sequence, stream.sequence)
-        return [Outgoing(vm=vm, message=state) for state in states]
-
-    def _send_snapshot(self, stream: StateStream, now_s: float) -> list[Outgoing]:
-        flows = self.flows
-        base = () if stream.all_flows else flows.replicated_base
-        states = stream.restart(
-            service=flows.service,
-            shard=flows.shard,
-            base=base,
-            pins=flows.list_pins(all_flows=stream.all_flows),
-            counts=tuple(map(flows.count_at, base)),
-            after=self._sequence,
-            now_s=now_s,
-        )
-        self._sequence = max(self._sequence, stream.sequence)
-        return [Outgoing(vm=stream.vm, message=state) for state in states]
-
-    def _send_due_changes(self, now_s: float) -> list[Outgoing]:
-        include_recent = self.role is Role.HANDING_OVER
-        pins, closed = self.flows.take_changes(now_s=now_s, include_recent=include_recent)
-        counts = tuple(map(self.flows.count_at, self.flows.replicated_base))
-        counts_due = (
-            now_s - self._counts_sent_s >= COUNTS_INTERVAL_S and counts != self._sent_counts
-        )
-        due = bool(pins or closed or counts_due)
-        if due:
-            self._sent_counts, self._counts_sent_s = counts, now_s
-        outgoing: list[Outgoing] = []
-        for stream in self.streams.values():
-            if stream.needs_snapshot:
-                outgoing += self._send_snapshot(stream, now_s)
-                continue
-            states = stream.take_retransmissions(now_s=now_s)
-            if due:
-                states += stream.append_changes(
-                    service=self.flows.service,
-                    shard=self.flows.shard,
-                    pins=pins,
-                    closed=closed,
-                    counts=counts,
-                    now_s=now_s,
-                )
-                self._sequence = max(self._sequence, stream.sequence)
-            outgoing += [Outgoing(vm=stream.vm, message=state) for state in states]
-        return outgoing
+            return self._sender.send_snapshot(StateStream(vm=vm), now_s)
+        return self._sender.send_copy(vm, self.replicas.values(), now_s)
