Soak: cuts between VMs, one way too, and during a restore of the store

VM processes run under `standins.cut_vm`, which drops datagrams and holds new connections on the links that a file lists; the injector cuts one VM or a zone off for up to 3 s.

A test plays a cut of a zone during a restore of the store: each side enters the next epoch alone.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -23,6 +23,8 @@
     VM_PAUSE = "vm-pause"
     VM_RELOAD = "vm-reload"
     VM_RESTART_ALL = "vm-restart-all"
+    VM_CUT = "vm-cut"  # no packets between some VMs and the others
+    VM_CUT_ONE_WAY = "vm-cut-one-way"  # the others hear nothing of some VMs
     TARGET_CRASH = "target-crash"
     TARGET_DARK = "target-dark"  # the target stops answering
     TARGET_DRAIN = "target-drain"
--- a/soak/_injector.py
+++ b/soak/_injector.py
@@ -6,6 +6,7 @@
 
 from standins.store import StoreFault
 
+from ._cuts import CutList, list_cut_links
 from ._deployment import FEEDS, SCANS, Deployment
 from ._faults import Fault, FaultKind
 from ._layout import GRACE_S
@@ -59,6 +60,7 @@
         self.relay = relay
         self.records = context.records
         self.clock = context.clock
+        self._cuts = CutList(path=deployment.layout.cuts_path)
         self._store_fault_count = 0
         self._started_s = self.deployment.store.clock()
         self._link_faults = {
@@ -73,6 +75,8 @@
             FaultKind.VM_PAUSE: self._pause,
             FaultKind.VM_RELOAD: self._reload,
             FaultKind.VM_RESTART_ALL: self._restart_all,
+            FaultKind.VM_CUT: self._cut,
+            FaultKind.VM_CUT_ONE_WAY: self._cut,
             FaultKind.TARGET_CRASH: self._crash,
             FaultKind.TARGET_DARK: self._make_unresponsive,
             FaultKind.TARGET_DRAIN: self._drain,
@@ -130,6 +134,25 @@
         for vm in self.processes.vm_specs:
             self.processes.kill(vm)
 
+    async def _cut(self, fault: Fault) -> None:
+        """Cut one VM, or all VMs of a zone, off from the other VMs."""
+        specs = self.processes.vm_specs
+        chosen = specs[self._pick_vm(fault)]
+        is_zone = fault.selector % 2 == 0
+        inside = {
+            s.vm for s in specs.values() if s == chosen or (is_zone and s.zone == chosen.zone)
+        }
+        links = list_cut_links(
+            [specs[vm].host for vm in inside],
+            [spec.host for vm, spec in specs.items() if vm not in inside],
+            one_way=fault.kind is FaultKind.VM_CUT_ONE_WAY,
+        )
+        for vm in inside:
+            self.processes.record_disturbance(vm, fault.duration_s)
+        self._cuts.start(links)
+        await asyncio.sleep(fault.duration_s)
+        self._cuts.end(links)
+
     # Targets
 
     async def _crash(self, fault: Fault) -> None:
--- a/soak/_layout.py
+++ b/soak/_layout.py
@@ -89,6 +89,11 @@
         """Return the host address of a caller."""
         return self._build_host(3, number + 1)
 
+    @property
+    def cuts_path(self) -> Path:
+        """Path of the file that lists the cut links between VMs."""
+        return self.folder / "cuts"
+
     def get_settings_path(self, vm: str) -> Path:
         """Return the path of a VM's settings file."""
         return self.folder / f"{vm}.conf"
--- a/soak/_processes.py
+++ b/soak/_processes.py
@@ -44,7 +44,7 @@
         env = os.environ | {"MULBERRYSWITCH_CONFIG": str(self.layout.get_settings_path(spec.vm))}
         with (self.layout.folder / f"{spec.vm}.log").open("ab") as log:
             self._processes[spec.vm] = subprocess.Popen(
-                [sys.executable, "-m", "mulberryswitch.platform"],
+                [sys.executable, "-m", "standins.cut_vm", spec.host, self.layout.cuts_path],
                 cwd=ROOT,
                 env=env,
                 stdout=log,
--- a/soak/tests/test_injection.py
+++ b/soak/tests/test_injection.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from unittest.mock import Mock, patch
 
+from soak._cuts import CutList, list_cut_links
 from soak._layout import Layout, reserve_block
 from soak._processes import VmProcesses
 from soak._records import Context, Records
@@ -27,6 +28,18 @@
         self.assertIs(relay.fault, LinkFault.NONE)
 
 
+class CutTest(unittest.TestCase):
+    """Guards against a cut that ends when another one ends."""
+
+    def test_cuts_overlap(self):
+        with tempfile.TemporaryDirectory() as folder:
+            cuts = CutList(path=Path(folder) / "cuts")
+            cuts.start(list_cut_links(["a"], ["b"], one_way=False))
+            cuts.start(list_cut_links(["a"], ["b", "c"], one_way=True))
+            cuts.end(list_cut_links(["a"], ["b"], one_way=False))
+            self.assertEqual(cuts.path.read_text(), "a b\na c\n")
+
+
 class PauseTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a restarted VM that stays paused, or is resumed too early."""
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -12,6 +12,8 @@
 CALLER, ROUTE = ("127.0.0.2", 1024), ("198.18.0.1", 443)
 SEED = 1
 LENGTH_S = 6.0
+# The next version removes a route.
+RESTORE = Fault(kind=FaultKind.STORE_RESTORE, at_s=1.0, duration_s=0.5, selector=9)
 
 
 class FaultsTest(unittest.TestCase):
@@ -54,9 +56,12 @@
         self.check_run(generate_faults(seed=SEED, length_s=LENGTH_S))
 
     def test_version_whose_revision_was_given_out_before_is_in_force(self):
-        """The store comes back from a copy, and the next version removes a route."""
-        fault = Fault(kind=FaultKind.STORE_RESTORE, at_s=1.0, duration_s=0.5, selector=9)
-        self.check_run((fault,))
+        self.check_run((RESTORE,))
+
+    def test_vms_that_were_cut_off_from_each_other_during_a_restore(self):
+        """Each side enters the next epoch alone, then both exchange what the copy lacks."""
+        cut = Fault(kind=FaultKind.VM_CUT, at_s=0.5, duration_s=3.0, selector=0)
+        self.check_run((cut, RESTORE))
 
 
 if __name__ == "__main__":
