--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,8 @@
 	$(VENV)/bin/black --quiet $(PACKAGES)
 	$(VENV)/bin/ruff check --fix $(PACKAGES)
 
-demo: env ## run the system end to end in separate processes for a few seconds
+demo: env ## run both paths end to end in separate processes for a few seconds
+	$(PY) -m soak.demo
 	$(PY) -m standins.demo
 
 bench: env ## run the benchmarks and their baselines
