Keep the connection limit when former owner and successor both place flows

A target got 13 flows of a shard at a limit of 12, without any fault but lost messages.

Ruled out: that the former owner stops placing with its first message, since the successor may not serve for 2.5 s while its view lags, and callers would be refused for so long.

From the start of a handover each of the two uses half of the connections that were free, the successor the odd one, until the time at which the former owner stops.

--- a/mulberryswitch/routing/_controller.py
+++ b/mulberryswitch/routing/_controller.py
@@ -228,6 +228,7 @@
         self.role = Role.HANDING_OVER
         self.flows.awaiting_state = False
         self._role_deadline_s = now_s + HANDOVER_TIMEOUT_S
+        self.flows.apply_handover(until_s=self._role_deadline_s, is_successor=False)
         stream = StateStream(vm=owner, role=ShardRole.HANDOVER)
         self._sender.streams = {owner: stream} if owner else {}
         return self._sender.send_snapshot(stream, now_s) if owner else []
@@ -261,6 +262,7 @@
             replica.drop_merged_pins()
         self._become_owner()
         if by_handover:
+            self.flows.apply_handover(until_s=now_s + HANDOVER_TIMEOUT_S, is_successor=True)
             return acks
         # The last changes of a failed owner may have reached only one of the other standbys.
         self._pending_requests, self._request_deadline_s = (
--- a/mulberryswitch/routing/_shard.py
+++ b/mulberryswitch/routing/_shard.py
@@ -71,6 +71,10 @@
         self._active: dict[str, float] = {}
         self._targets_changed_s = 0.0
         self._connection_limit = 0
+        # Counts at the start of a handover, and until when another VM may serve the shard as well.
+        self._handover_counts: dict[str, int] = {}
+        self._handover_until_s = -inf
+        self._handover_rounding = 0
         self._sweep_queue: list[bytes] = []
 
     @property
@@ -324,6 +328,16 @@
             self._add_pin(pin.flow, pin.target, now_s)
         self._add_unseen(counts)
 
+    def apply_handover(self, *, until_s: float, is_successor: bool) -> None:
+        """Use half of the free connections of each target until `until_s`.
+
+        Former owner and successor may both place flows for a while, since either can miss the
+        other's last message. The successor has the odd connection.
+        """
+        self._handover_counts = dict(self._counts)
+        self._handover_until_s = until_s
+        self._handover_rounding = int(is_successor)
+
     def is_newer_base(self, base: tuple[str, ...]) -> bool:
         """Return whether `base` was set for a newer list of targets than the present base.
 
@@ -356,6 +370,7 @@
         self._next_base, self._next_table = (), ()
         for state in (self._flows, self._exceptions, self._counts, self._unseen_counts):
             state.clear()
+        self._handover_until_s = -inf
         self._active_count = 0
         self._shared_records.clear()
         self._unreplicated.clear()
@@ -403,7 +418,7 @@
         ):
             return base_target
         below_limit = [
-            name for name in self._active if self.count_at(name) < self._connection_limit
+            name for name in self._active if self.count_at(name) < self._get_limit(name, now_s)
         ]
         if not below_limit:
             return ResultCode.CONNECTION_LIMIT
@@ -417,7 +432,15 @@
     def _compute_load_bound(self, name: str, mean: float, now_s: float) -> float:
         """Return the flow count below which a target takes new flows; it rises in slow start."""
         ramp = min(1.0, (now_s - self._active[name]) / SLOW_START_S)
-        return min(self._connection_limit, LOAD_BOUND_FACTOR * mean * ramp + LOAD_BOUND_SLACK)
+        bound = LOAD_BOUND_FACTOR * mean * ramp + LOAD_BOUND_SLACK
+        return min(self._get_limit(name, now_s), bound)
+
+    def _get_limit(self, name: str, now_s: float) -> int:
+        """Return the number of flows at a target that this VM may reach by placing new ones."""
+        if now_s >= self._handover_until_s:
+            return self._connection_limit
+        count = min(self._handover_counts.get(name, 0), self._connection_limit)
+        return (self._connection_limit + count + self._handover_rounding) // 2
 
     def _share_record(self, target: str, assumed: bool) -> tuple[str, int, bool]:
         key = (target, assumed)
--- a/mulberryswitch/routing/tests/test_shard.py
+++ b/mulberryswitch/routing/tests/test_shard.py
@@ -48,6 +48,25 @@
         opened = self.open_all(shard, make_flows(6))
         self.assertEqual(opened[b"flow-5"], ResultCode.FLOW_TABLE_FULL)
 
+    def test_former_owner_and_successor_keep_the_limit_together(self):
+        """Guards against a target above its limit while a handover is not acknowledged."""
+        former = make_shard(connections=16 * 12)
+        self.open_all(former, make_flows(50))
+        successor = make_shard(connections=16 * 12)
+        counts = former.count_by_target()
+        successor.apply_state(base=former.base, pins={}, counts=counts, now_s=START_S)
+        former.apply_handover(until_s=START_S + 3, is_successor=False)
+        successor.apply_handover(until_s=START_S + 3, is_successor=True)
+        for shard, prefix in ((former, "former"), (successor, "successor")):
+            opened = self.open_all(shard, make_flows(60, prefix=prefix), START_S + 1)
+            self.assertIn(ResultCode.CONNECTION_LIMIT, opened.values())
+        for target, count in counts.items():
+            both = former.count_at(target) + successor.count_at(target) - count
+            self.assertLessEqual(both, 12)
+            self.assertGreaterEqual(both, 11)
+        opened = self.open_all(successor, make_flows(60, prefix="later"), START_S + 3)
+        self.assertLess(Counter(opened.values())[ResultCode.CONNECTION_LIMIT], 60)
+
     def test_idle_flows_expire_and_active_ones_stay(self):
         """Guards against a table that fills with idle flows, and against expiring active ones."""
         shard = make_shard()
