--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -15,7 +15,8 @@
 from mulberryswitch.forwarding import Candidate, Forwarder, pick_target
 from mulberryswitch.forwarding import _forwarder as forwarder_module
 from mulberryswitch.forwarding.tests.builders import build_forwarder, build_packet
-from mulberryswitch.forwarding.tests.simulation import Simulation, Workload
+from mulberryswitch.forwarding.tests.simulated import Workload
+from mulberryswitch.forwarding.tests.simulation import Simulation
 
 SEEDS = range(3)
 PEAK_LOAD = Workload(feeds=280, reports_per_s=65)
--- a/mulberryswitch/forwarding/tests/test_simulation.py
+++ b/mulberryswitch/forwarding/tests/test_simulation.py
@@ -10,7 +10,8 @@
 from unittest.mock import patch
 
 from mulberryswitch.forwarding import _placement
-from mulberryswitch.forwarding.tests.simulation import Outcome, Request, Simulation, Workload
+from mulberryswitch.forwarding.tests.simulated import Outcome, Request, Workload
+from mulberryswitch.forwarding.tests.simulation import Simulation
 
 SEEDS = range(3)
 # Share of requests that can meet their latency goal on an idle target.
