--- a/mulberryswitch/forwarding/tests/builders.py
+++ b/mulberryswitch/forwarding/tests/builders.py
@@ -1,10 +1,17 @@
-"""Builders of callers' packets and of a forwarder with a fixed seed for tests."""
+"""Builders of callers' packets, targets and a forwarder with a fixed seed for tests."""
 
+import unittest
 from random import Random
 
-from mulberryswitch.directory import Directory
-from mulberryswitch.directory.tests.builders import ROUTE_HOST
-from mulberryswitch.forwarding import Forwarder, Packet
+from mulberryswitch.directory import Directory, build_token
+from mulberryswitch.directory.tests.builders import (
+    ROUTE_HOST,
+    build_directory,
+    build_record,
+    build_target,
+    build_target_record,
+)
+from mulberryswitch.forwarding import Forward, Forwarder, Packet
 
 CALLER = 0x64400007
 
@@ -38,3 +45,38 @@
     forwarder = Forwarder(directory=directory, zone=zone, rng=Random(seed), count=count)
     forwarder.counts = counts
     return forwarder
+
+
+ROUTES = {443: "feeds", 80: "feeds", 81: "scans"}
+
+
+def build_fleet(*names: str, kinds: dict[str, str] | None = None, **changes):
+    """Return a directory with a configuration and targets of the service `feeds`."""
+    config = build_record(
+        "config", 5, version=1, routes=ROUTES, kinds=kinds or {"80": "non-idempotent"}
+    )
+    return build_directory(config, *(build_target_record(name, 6, **changes) for name in names))
+
+
+def token_of(name: str) -> int:
+    return build_token(build_target(name).identity)
+
+
+class PathTest(unittest.TestCase):
+    """Fixture with three targets and a forwarder that packets are sent to."""
+
+    def setUp(self):
+        self.directory = build_fleet("t1", "t2", "t3")
+        self.forwarder = build_forwarder(self.directory)
+
+    def send(self, now_s: float, **fields) -> list:
+        return self.forwarder.observe_packet(packet=build_packet(**fields), now_s=now_s)
+
+    def open(self, now_s: float, **fields) -> str:
+        """Open a flow and return the target's key."""
+        (action,) = self.send(now_s, **fields)
+        self.assertIsInstance(action, Forward)
+        return action.target.key
+
+    def acknowledge(self, now_s: float, target: str, **fields) -> list:
+        return self.send(now_s, token=token_of(target), sequence=1, acknowledged=1, **fields)
