Soak: targets open a flow only for a packet that acknowledges their own sequence number

Ruled out: two targets (both runs are at the same one), and a caller that sends twice (one attempt).

Cause: the simulated targets gave each flow the same first sequence number and opened it at any packet. By the users' protocol an endpoint chooses its own and the flow opens at the packet that acknowledges it, so the late request cannot open the later flow. VMs cannot know how old a packet is. The check is as strict as before; the targets follow the protocol, and so does the third packet of the callers, which carried no acknowledgement.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -179,7 +179,8 @@
             flow.token = segment.token
             flow.sequence = (flow.sequence + 1) % 2**32
             flow.acknowledged = segment.sequence
-            send(flow, self._encode(flow, Segment(ACK, flow.token, flow.sequence, 0, b"")))
+            acknowledgement = Segment(ACK, flow.token, flow.sequence, flow.acknowledged, b"")
+            send(flow, self._encode(flow, acknowledgement))
             return flow
         self._flows.pop(flow.id.caller_port, None)
         raise _OpeningFailedError(Outcome.NOT_OPENED)
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -1,6 +1,7 @@
 """Simulated targets: they accept flows by the protocol and record what they receive."""
 
 import asyncio
+import itertools
 from dataclasses import dataclass
 from enum import Enum
 
@@ -14,7 +15,8 @@
 IDENTITY_BYTES = 8
 SERVICE_TIME_S = 0.03
 SLOTS = 3
-INITIAL_SEQUENCE = 1_000
+# Distance of the initial sequence numbers of two flows; more than the bytes of all answers of one.
+SEQUENCE_STEP = 1_000_003
 
 
 class TargetState(Enum):
@@ -29,7 +31,7 @@
 class _FlowState:
     token: int
     expected_sequence: int
-    next_sequence: int = INITIAL_SEQUENCE
+    next_sequence: int
     answer: bytes = b""
     answered_sequence: int = -1
     is_open: bool = False
@@ -67,6 +69,7 @@
         self.state = TargetState.SERVING
         self.is_draining = False
         self._flows: dict[FlowId, _FlowState] = {}
+        self._initial_sequences = (number * SEQUENCE_STEP % 2**32 for number in itertools.count(1))
         self._socket = DatagramSocket(on_datagram=self._handle_datagram)
         self._slots = asyncio.Semaphore(SLOTS)
         self._tasks: set[asyncio.Task] = set()
@@ -133,9 +136,13 @@
                 vm=vm,
             )
         )
-        flow_state = self._flows.setdefault(
-            flow, _FlowState(token=segment.token, expected_sequence=segment.sequence + 1)
-        )
+        flow_state = self._flows.get(flow)
+        if flow_state is None:
+            flow_state = self._flows[flow] = _FlowState(
+                token=segment.token,
+                expected_sequence=segment.sequence + 1,
+                next_sequence=next(self._initial_sequences),
+            )
         flow_state.token = segment.token
         self._send(
             flow,
@@ -150,7 +157,10 @@
 
     def _observe_segment(self, flow: FlowId, segment: Segment) -> None:
         flow_state = self._flows.get(flow)
-        if flow_state is None:
+        is_accepted = flow_state is not None and (
+            flow_state.is_open or segment.acknowledged == flow_state.next_sequence
+        )
+        if not is_accepted:
             self._send(flow, Segment(RST, segment.token, 0, 0, b""))
             return
         flow_state.is_open = True
