--- a/soak/_injector.py
+++ b/soak/_injector.py
@@ -23,9 +23,10 @@
 RENEWAL_DELAY_S = 1.5
 # Age of the copy from which the store comes back.
 MIN_COPY_AGE_S, MAX_COPY_AGE_S = 1, 9
-# The second writing is one change, so that the next ones get revisions that VMs have seen before.
-MIN_LOST_CHANGES = 3
-LOST_CHANGES_READ_S = 0.6
+# Versions that a restore loses at least, so that the next changes repeat revisions, and the time in
+# which VMs read these versions before.
+LOST_VERSIONS = 3
+LOST_VERSIONS_READ_S = 0.6
 STORM_CHANGES = 8
 STORM_GAP_S = 0.1
 MIN_LIVE_TARGETS = {FEEDS: 3, SCANS: 1}
@@ -228,12 +229,13 @@
         age_s = MIN_COPY_AGE_S + fault.selector % MAX_COPY_AGE_S
         # The first configuration was written before all copies.
         copied_s = max(store.clock() - age_s, self._started_s)
-        for _ in range(MIN_LOST_CHANGES):
+        for _ in range(LOST_VERSIONS):
             self.deployment.add_route()
-        await asyncio.sleep(LOST_CHANGES_READ_S)
+        await asyncio.sleep(LOST_VERSIONS_READ_S)
         store.restore(at_s=copied_s)
         await self._refuse_reads(fault)
         delay_s = RENEWAL_DELAY_S * (fault.selector % 4) / 3
+        # The operator may write before the targets do.
         config_delay_s = delay_s if fault.selector % 8 < 4 else 0.0
         await asyncio.sleep(config_delay_s)
         self.deployment.write_config_again()
