Move the counts of flows per target out of FlowShard

No change of behaviour: `TargetCounts` counts the flows at each target, known ones and those that another owner reported, keeps the limits and the slow start, and picks the target of a new flow.

--- a/mulberryswitch/routing/_shard.py
+++ b/mulberryswitch/routing/_shard.py
@@ -9,18 +9,16 @@
 from math import inf
 from sys import intern
 
-from mulberryswitch.contracts import Pin, ResultCode, Target, TargetState
+from mulberryswitch.contracts import Pin, ResultCode, Target
 
 from ._hashing import FLOW_SHARDS, build_lookup_table, pick_slot
+from ._target_counts import TargetCounts
 
 __all__ = ["IDLE_TIMEOUT_S", "MAX_SHARD_FLOWS", "FlowShard"]
 
 IDLE_TIMEOUT_S = 15 * 60
 REPLICATION_DELAY_S = 1.0
 MAX_SHARD_FLOWS = 400_000
-LOAD_BOUND_FACTOR = 1.25
-LOAD_BOUND_SLACK = 2
-SLOW_START_S = 30.0
 # Changes of targets usually arrive several at a time; after this delay one rebase covers them.
 REBASE_DELAY_S = 5.0
 TIMESTAMP_STEP_S = 60
@@ -60,21 +58,10 @@
         self._exceptions: dict[bytes, str] = {}
         self._unreplicated: deque[tuple[float, bytes]] = deque()
         self._closed_exceptions: list[bytes] = []
-        # Number of flows per target. `_unseen_counts` is the part that another owner reported and
-        # that this VM has not seen a packet of.
-        self._counts: dict[str, int] = {}
-        self._unseen_counts: dict[str, int] = {}
-        self._active_count = 0
+        self._counts = TargetCounts()
         self._foreign_targets: frozenset[str] = frozenset()
         self._valid_until_s = inf
-        # Active targets, with the start of the slow start of each.
-        self._active: dict[str, float] = {}
         self._targets_changed_s = 0.0
-        self._connection_limit = 0
-        # Counts at the start of a handover, and until when another VM may serve the shard as well.
-        self._handover_counts: dict[str, int] = {}
-        self._handover_until_s = -inf
-        self._handover_rounding = 0
         self._sweep_queue: list[bytes] = []
 
     @property
@@ -94,11 +81,11 @@
 
     def count_at(self, target: str) -> int:
         """Return the number of flows at `target`, known here or reported by another owner."""
-        return self._counts.get(target, 0)
+        return self._counts.get(target)
 
     def count_by_target(self) -> dict[str, int]:
         """Return the number of flows at each target that has any."""
-        return {name: count for name, count in sorted(self._counts.items()) if count}
+        return {name: count for name, count in sorted(self._counts.by_target.items()) if count}
 
     def apply_targets(
         self,
@@ -113,23 +100,14 @@
         `foreign_targets` are the targets of other services. If a target has moved to another
         service, the flows that were pinned to it under this service are no longer resolved.
         """
-        is_first_list = not self._active
-        active = {}
-        for target in sorted(targets, key=lambda target: target.name):
-            if target.takes_new_work:
-                starts_cold = target.state is TargetState.JOINING or not is_first_list
-                since_s = now_s if starts_cold else now_s - SLOW_START_S
-                active[intern(target.name)] = self._active.get(target.name, since_s)
-        if active.keys() != self._active.keys():
+        limit = connections // FLOW_SHARDS
+        if self._counts.apply_targets(targets=targets, limit=limit, now_s=now_s):
             self._targets_changed_s = now_s
-        self._active = active
-        self._active_count = sum(map(self.count_at, active))
-        self._connection_limit = connections // FLOW_SHARDS
         self._foreign_targets = foreign_targets
-        for name in foreign_targets & self._counts.keys():
+        for name in foreign_targets & self._counts.by_target.keys():
             self.apply_target_lost(target=name)
         if not self.base and not self.awaiting_state:
-            self._set_base(tuple(active))
+            self._set_base(tuple(self._counts.active))
 
     def apply_open(self, *, flow: bytes, now_s: float) -> str | ResultCode:
         """Pin a flow and return its target; a flow that is open already keeps its target."""
@@ -141,7 +119,8 @@
             return ResultCode.NOT_OWNER
         if len(self._flows) >= self.max_flows:
             return ResultCode.FLOW_TABLE_FULL
-        target = self._pick_target(flow, now_s)
+        preferred = self._table[pick_slot(flow)] if self._table else ""
+        target = self._counts.pick_target(preferred, now_s)
         if isinstance(target, ResultCode):
             return target
         self._add_flow(flow, target)
@@ -169,7 +148,7 @@
         if target in self._foreign_targets:
             return ResultCode.UNKNOWN_FLOW
         if not self.complete and len(self._flows) < self.max_flows:
-            self._discount_unseen(target)
+            self._counts.discount_unseen(target)
             self._add_flow(flow, target, assumed=True)
         return target
 
@@ -189,14 +168,14 @@
         if flow in self._flows:
             self._remove_flow(flow)
         elif not self.complete and self._table:
-            self._discount_unseen(self._table[pick_slot(flow)])
+            self._counts.discount_unseen(self._table[pick_slot(flow)])
 
     def apply_target_lost(self, *, target: str) -> list[bytes]:
         """Remove and return the flows of a target that failed."""
         ended = [flow for flow, record in self._flows.items() if record[0] == target]
         for flow in ended:
             self._remove_flow(flow)
-        self._change_count(target, -self._unseen_counts.pop(target, 0))
+        self._counts.remove_unseen(target)
         return ended
 
     def apply_tick(self, *, now_s: float, valid_s: float = inf) -> None:
@@ -255,8 +234,8 @@
         return (
             self.complete
             and not self._next_base
-            and bool(self._active)
-            and self.base != tuple(self._active)
+            and bool(self._counts.active)
+            and self.base != tuple(self._counts.active)
             and now_s - self._targets_changed_s >= REBASE_DELAY_S
         )
 
@@ -266,7 +245,7 @@
         Until ``apply_rebase_end`` a flow is an exception if its target differs from its base
         target under either base, so that a standby with either base resolves it.
         """
-        self._next_base = tuple(self._active)
+        self._next_base = tuple(self._counts.active)
         self._next_table = build_lookup_table(self._next_base)
         self._rebuild_exceptions()
         return self._next_base
@@ -286,7 +265,7 @@
         self.awaiting_state = False
         if self.base:
             return
-        self._set_base(tuple(self._active))
+        self._set_base(tuple(self._counts.active))
         self.complete = fleet_is_new
         self._complete_at_s = now_s + IDLE_TIMEOUT_S
 
@@ -324,26 +303,20 @@
             if record is not None:
                 self._remove_flow(pin.flow)
             # The count that the other owner reported includes this flow.
-            self._discount_unseen(pin.target)
+            self._counts.discount_unseen(pin.target)
             self._add_pin(pin.flow, pin.target, now_s)
         self._add_unseen(counts)
 
     def apply_handover(self, *, until_s: float, is_successor: bool) -> None:
-        """Use half of the free connections of each target until `until_s`.
-
-        Former owner and successor may both place flows for a while, since either can miss the
-        other's last message. The successor has the odd connection.
-        """
-        self._handover_counts = dict(self._counts)
-        self._handover_until_s = until_s
-        self._handover_rounding = int(is_successor)
+        """Leave half of the free connections to another VM that may serve the shard as well."""
+        self._counts.apply_handover(until_s=until_s, is_successor=is_successor)
 
     def is_newer_base(self, base: tuple[str, ...]) -> bool:
         """Return whether `base` was set for a newer list of targets than the present base.
 
         An owner sets its base to the active targets, so the newer base differs less from them.
         """
-        active = self._active.keys()
+        active = self._counts.active.keys()
         return len(active ^ set(base)) < len(active ^ set(self.base))
 
     def apply_base(self, base: tuple[str, ...]) -> None:
@@ -368,10 +341,8 @@
         self.awaiting_state, self.complete = True, False
         self._set_base(())
         self._next_base, self._next_table = (), ()
-        for state in (self._flows, self._exceptions, self._counts, self._unseen_counts):
+        for state in (self._flows, self._exceptions, self._counts):
             state.clear()
-        self._handover_until_s = -inf
-        self._active_count = 0
         self._shared_records.clear()
         self._unreplicated.clear()
         self._closed_exceptions.clear()
@@ -396,11 +367,8 @@
 
     def _add_unseen(self, counts: Mapping[str, int]) -> None:
         """Add the flows at base targets that another owner reports and this table does not know."""
-        for name, count in counts.items():
-            unknown = count - self._counts.get(name, 0)
-            if unknown > 0 and name not in self._foreign_targets:
-                self._unseen_counts[name] = self._unseen_counts.get(name, 0) + unknown
-                self._change_count(name, unknown)
+        own = {name: n for name, n in counts.items() if name not in self._foreign_targets}
+        self._counts.add_unseen(own)
 
     def _is_exception(self, flow: bytes, target: str) -> bool:
         slot = pick_slot(flow)
@@ -408,40 +376,6 @@
             return True
         return bool(self._next_table) and self._next_table[slot] != target
 
-    def _pick_target(self, flow: bytes, now_s: float) -> str | ResultCode:
-        if not self._active:
-            return ResultCode.NO_ACTIVE_TARGET
-        mean = self._active_count / len(self._active)
-        base_target = self._table[pick_slot(flow)] if self._table else ""
-        if base_target in self._active and self.count_at(base_target) < self._compute_load_bound(
-            base_target, mean, now_s
-        ):
-            return base_target
-        below_limit = [
-            name for name in self._active if self.count_at(name) < self._get_limit(name, now_s)
-        ]
-        if not below_limit:
-            return ResultCode.CONNECTION_LIMIT
-        below_bound = [
-            name
-            for name in below_limit
-            if self.count_at(name) < self._compute_load_bound(name, mean, now_s)
-        ]
-        return min(below_bound or below_limit, key=self.count_at)
-
-    def _compute_load_bound(self, name: str, mean: float, now_s: float) -> float:
-        """Return the flow count below which a target takes new flows; it rises in slow start."""
-        ramp = min(1.0, (now_s - self._active[name]) / SLOW_START_S)
-        bound = LOAD_BOUND_FACTOR * mean * ramp + LOAD_BOUND_SLACK
-        return min(self._get_limit(name, now_s), bound)
-
-    def _get_limit(self, name: str, now_s: float) -> int:
-        """Return the number of flows at a target that this VM may reach by placing new ones."""
-        if now_s >= self._handover_until_s:
-            return self._connection_limit
-        count = min(self._handover_counts.get(name, 0), self._connection_limit)
-        return (self._connection_limit + count + self._handover_rounding) // 2
-
     def _share_record(self, target: str, assumed: bool) -> tuple[str, int, bool]:
         key = (target, assumed)
         record = self._shared_records.get(key)
@@ -456,7 +390,7 @@
 
     def _add_flow(self, flow: bytes, target: str, assumed: bool = False) -> None:
         self._flows[flow] = self._share_record(target, assumed)
-        self._change_count(target, 1)
+        self._counts.change(target, 1)
 
     def _add_pin(self, flow: bytes, target: str, now_s: float) -> None:
         if target in self._foreign_targets:
@@ -469,20 +403,10 @@
 
     def _remove_flow(self, flow: bytes) -> None:
         target = self._flows.pop(flow)[0]
-        self._change_count(target, -1)
+        self._counts.change(target, -1)
         if self._exceptions.pop(flow, None) is not None:
             self._closed_exceptions.append(flow)
 
-    def _discount_unseen(self, target: str) -> None:
-        if self._unseen_counts.get(target, 0) > 0:
-            self._unseen_counts[target] -= 1
-            self._change_count(target, -1)
-
-    def _change_count(self, target: str, change: int) -> None:
-        self._counts[target] = self._counts.get(target, 0) + change
-        if target in self._active:
-            self._active_count += change
-
     def _advance_clock(self, now_s: float) -> None:
         timestamp = int(now_s) // TIMESTAMP_STEP_S
         if timestamp != self._timestamp:
@@ -494,9 +418,7 @@
             self._sweep_batch()
         if not self.complete and now_s >= self._complete_at_s:
             self.complete = True
-            for name, count in self._unseen_counts.items():
-                self._change_count(name, -count)
-            self._unseen_counts.clear()
+            self._counts.remove_all_unseen()
 
     def _sweep_batch(self) -> None:
         oldest = self._timestamp - IDLE_TIMEOUT_S // TIMESTAMP_STEP_S
