--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -24,8 +24,8 @@
         self.host, self.port = host, port
         self.revision = 1
         self.items: dict[str, dict] = {}
-        # Time, revision and event of each change.
-        self.history: list[tuple[float, int, dict]] = []
+        # Time, revision and encoded event of each change.
+        self.history: list[tuple[float, int, bytes]] = []
         self.dropped_revision = 0
         self.largest_answer = 0
         self._changed = asyncio.Event()
@@ -71,7 +71,7 @@
 
     def _add_event(self, event: dict) -> float:
         now = time.monotonic()
-        self.history.append((now, self.revision, event))
+        self.history.append((now, self.revision, json.dumps(event).encode()))
         while self.history and now - self.history[0][0] > HISTORY_S:
             self.dropped_revision = self.history.pop(0)[1]
         self._changed.set()
@@ -133,7 +133,10 @@
                 return 410, b"{}"
             events = [e for _, rev, e in self.history if rev > after]
             if events or now >= end:
-                return 200, json.dumps({"events": events, "storeRevision": self.revision}).encode()
+                return 200, b'{"events": [%s], "storeRevision": %d}' % (
+                    b", ".join(events),
+                    self.revision,
+                )
             changed = self._changed
             try:
                 async with asyncio.timeout(end - now):
