Ignore SIGHUP before the package of the platform is imported

Cause: `python -m mulberryswitch.platform` runs the package's __init__ before __main__, and that imported the whole daemon (0.15 s). Ruled out: the handler of the event loop, which comes later and works.

Change: the package imports its names at first use, so __main__ ignores the signal as its first statement. What is left is the interpreter's own start, before any line of ours.

Both tests of test_start.py failed before; they pass now.

--- a/mulberryswitch/platform/__init__.py
+++ b/mulberryswitch/platform/__init__.py
@@ -1,10 +1,6 @@
 """Adapter to the users' platform, the only package that depends on its formats and names."""
 
-from ._adapter import ADAPTER, SETTINGS_VARIABLE
-from ._packets import decode_packet, encode_forward, encode_reset
-from ._records import decode_record
-from ._settings import parse_settings
-from ._store import StoreClient
+from mulberryswitch._lazy import build_lazy_getter
 
 __all__ = [
     "ADAPTER",
@@ -16,3 +12,18 @@
     "encode_reset",
     "parse_settings",
 ]
+
+# Imported at first use: ``__main__`` has to ignore SIGHUP before anything takes time.
+__getattr__ = build_lazy_getter(
+    __name__,
+    {
+        "ADAPTER": "_adapter",
+        "SETTINGS_VARIABLE": "_adapter",
+        "StoreClient": "_store",
+        "decode_packet": "_packets",
+        "decode_record": "_records",
+        "encode_forward": "_packets",
+        "encode_reset": "_packets",
+        "parse_settings": "_settings",
+    },
+)
--- a/mulberryswitch/platform/__main__.py
+++ b/mulberryswitch/platform/__main__.py
@@ -1,15 +1,16 @@
 """Run a VM on the users' platform with ``python -m mulberryswitch.platform``."""
 
-import asyncio
-import logging
-import os
 import signal
-import sys
-from pathlib import Path
 
 # By default SIGHUP ends the process; one that arrives during the imports must not.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import asyncio  # noqa: E402
+import logging  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
+
 from mulberryswitch.front import FrontSettingsError, run_front  # noqa: E402
 from mulberryswitch.observability import NonBlockingHandler, configure_logs  # noqa: E402
 
