Records of another writer name no target

Change: every field that targets always write is required with its type; numbers have bounds; an address that no process can have is invalid; a service that the configuration in force does not name, or a zone that the settings do not name, makes a record foreign. A target whose service a later configuration names is listed then. The last good record serves open flows only, until the target writes again; tested.

Ruled out: the choice by service alone; it never sent new flows to unknown services, but the address of the foreign record was used for open flows.

The test that left out `version` on purpose is stricter now.

--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -33,6 +33,8 @@
     keep_departed_s : float
         How long a departed target is remembered by its token, in seconds. Matches the maximum
         lifetime of a flow.
+    zones : frozenset of str
+        Availability zones that exist; empty if they are not known.
 
     Attributes
     ----------
@@ -44,8 +46,16 @@
         Whether the content differs from the store's because of what was known before a restore.
     """
 
-    def __init__(self, *, decode: DecodeRecord, keep_departed_s: float = 60.0):
+    def __init__(
+        self,
+        *,
+        decode: DecodeRecord,
+        keep_departed_s: float = 60.0,
+        zones: frozenset[str] = frozenset(),
+    ):
         self.decode = decode
+        self.zones = zones
+        self.services: frozenset[str] = frozenset()
         self.position = START
         self.version = 0
         self.idle_timeout_s = 60.0
@@ -189,7 +199,7 @@
         for key in live:
             transition.settle(key)
             content = self.decode(self._records[key])
-            if isinstance(content, Target):
+            if isinstance(content, Target) and self._is_named(content):
                 self._table.list_target(content, now_s)
         return self._complete_update(self.position, True, now_s)
 
@@ -239,7 +249,7 @@
             return False
         content = self.decode(record) if record.value is not None else None
         if record.key == self._config_key or isinstance(content, Manifest):
-            return self._apply_config(record, content)
+            return self._apply_config(record, content, now_s)
         if record.value is None:
             return known is not None and self._remove_record(record.key, now_s)
         target = content if isinstance(content, Target) else None
@@ -250,7 +260,7 @@
     def _list_record(self, record: Record, target: Target | None, now_s: float) -> bool:
         self._records[record.key] = record
         self._transition.settle(record.key)
-        if target is not None:
+        if target is not None and self._is_named(target):
             self._table.list_target(target, now_s)
         elif record.key in self.targets:
             self._table.remove_target(record.key, DepartureCause.UNREADABLE, now_s)
@@ -262,9 +272,19 @@
         self._table.remove_target(key, DepartureCause.LAPSED, now_s, created_revision)
         return True
 
+    def _is_named(self, target: Target) -> bool:
+        """Return whether the service and the zone of a target exist.
+
+        A record that names others is of another writer.
+        """
+        is_service = not self.services or target.service in self.services
+        return is_service and (not self.zones or target.zone in self.zones)
+
     # Configuration
 
-    def _apply_config(self, record: Record, content: Manifest | Target | None) -> bool:
+    def _apply_config(
+        self, record: Record, content: Manifest | Target | None, now_s: float
+    ) -> bool:
         """Put a configuration in force, unless a newer version is.
 
         A restored store may hold an older version at a later position. A configuration that is
@@ -286,6 +306,9 @@
         self._config_key = record.key
         self._records[record.key] = record
         self._apply_manifest(content, record)
+        if content.services != self.services:
+            self.services = content.services
+            self._list_targets_of_new_services(now_s)
         return True
 
     def _apply_manifest(self, manifest: Manifest, record: Record) -> None:
@@ -306,6 +329,15 @@
         )
         self.version = manifest.version
 
+    def _list_targets_of_new_services(self, now_s: float) -> None:
+        """List the targets whose records came before the configuration that names their service."""
+        for record in list(self._records.values()):
+            if record.key in self.targets or record.key in self._transition.withheld_until_s:
+                continue
+            content = self.decode(record)
+            if isinstance(content, Target) and self._is_named(content):
+                self._table.list_target(content, now_s)
+
     # Restored stores
 
     def _apply_copied(self, record: Record, target: Target | None, now_s: float) -> bool:
@@ -378,7 +410,7 @@
         content = self.decode(record)
         if isinstance(content, Manifest):
             is_newer = content.version > self.version
-            return is_newer and self._apply_config(record, content)
+            return is_newer and self._apply_config(record, content, now_s)
         if not isinstance(content, Target):
             return False
         departure = self.find_departure(build_token(content.identity))
--- a/mulberryswitch/directory/_records.py
+++ b/mulberryswitch/directory/_records.py
@@ -80,11 +80,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Manifest:
-    """A configuration published by an operator."""
+    """A configuration published by an operator.
+
+    `services` are the names of the services that exist; empty if the configuration lists none.
+    """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_s: float
+    services: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -59,7 +59,9 @@
         self.clock = clock or time.monotonic
         self.metrics = Metrics()
         self.directory = Directory(
-            decode=adapter.decode_record, keep_departed_s=settings.flow_lifetime_s
+            decode=adapter.decode_record,
+            keep_departed_s=settings.flow_lifetime_s,
+            zones=settings.zones,
         )
         self.forwarder = Forwarder(
             directory=self.directory,
--- a/mulberryswitch/front/_settings.py
+++ b/mulberryswitch/front/_settings.py
@@ -56,6 +56,8 @@
 
     Attributes
     ----------
+    zones : frozenset of str
+        Availability zones of the deployment; empty if the settings do not list them.
     packet_address, ready_address, peer_address, metrics_address : Address
         Addresses this VM listens on; `peer_address` for both TCP and UDP.
     seeds : tuple of Address
@@ -68,6 +70,7 @@
 
     vm: str
     zone: str
+    zones: frozenset[str] = frozenset()
     packet_address: Address
     ready_address: Address
     peer_address: Address
--- a/mulberryswitch/platform/_records.py
+++ b/mulberryswitch/platform/_records.py
@@ -3,6 +3,7 @@
 import ipaddress
 import logging
 from functools import lru_cache
+from typing import Annotated
 
 import msgspec
 
@@ -14,6 +15,10 @@
 TARGET_PREFIX = "servers/"
 IDENTITY_BYTES = 8
 MAX_PORT = 65_535
+# Beyond what any process serves; larger numbers would overflow the choice of a target.
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 3_600_000
+MAX_WHOLE_NUMBER = 2**63 - 1
 MAX_CACHED_ROUTES = 16_384
 
 log = logging.getLogger("platform")
@@ -46,24 +51,40 @@
     idle_timeout_ms: float = 60_000
 
 
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+
+
 class _Manifest(msgspec.Struct):
     version: int
     routes: list[_Route]
+    services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
+
 class _Target(msgspec.Struct, rename="camel"):
-    service: str
+    """Entry of a target. Each field that targets always write is required, also if it is unused.
+
+    An entry without one of them is of another writer, even if the rest could be used.
+    """
+
+    service: _Name
     address: str
-    zone: str
-    slots: int
+    zone: _Name
+    # Version of the target's software.
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
     # Remaining cold time when the record was written; the target does not update it afterwards.
-    cold_remaining_ms: float
-    # Number of heartbeats of the target; only its type is checked here.
-    sequence: int
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
+    # Number of heartbeats of the target.
+    sequence: _Count
     # Start time of the process in Unix milliseconds.
-    born: int = 0
+    born: _Count = 0
 
 
 _decode_manifest = msgspec.json.Decoder(_Manifest).decode
@@ -93,6 +114,7 @@
         version=wire.version,
         routes=tuple(_build_route(route) for route in wire.routes),
         idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
+        services=frozenset(service.name for service in wire.services),
     )
 
 
@@ -116,18 +138,15 @@
 def _build_target(key: str, wire: _Target) -> Target:
     if wire.state not in ("ready", "draining"):
         raise ValueError(f"unknown state {wire.state!r}")
-    if wire.slots < 1:
-        raise ValueError(f"slots is {wire.slots}, expected 1 or more")
-    host, _, port = wire.address.rpartition(":")
     return Target(
         key=key,
         identity=_build_identity(key.removeprefix(TARGET_PREFIX)),
         service=wire.service,
-        address=(str(ipaddress.IPv4Address(host)), _parse_port(port)),
+        address=_parse_address(wire.address),
         zone=wire.zone,
         slots=wire.slots,
         is_draining=wire.state == "draining",
-        cold_s=max(0.0, wire.cold_remaining_ms / 1000),
+        cold_s=wire.cold_remaining_ms / 1000,
         boot_ms=wire.born,
     )
 
@@ -141,6 +160,15 @@
     return value.to_bytes(IDENTITY_BYTES, "big")
 
 
+def _parse_address(text: str) -> tuple[str, int]:
+    """Return host and port of a process; an address that no process can have is an error."""
+    host, _, port = text.rpartition(":")
+    address = ipaddress.IPv4Address(host)
+    if address.is_unspecified or address.is_multicast or address.is_reserved:
+        raise ValueError(f"{host!r} is not the address of a process")
+    return str(address), _parse_port(port)
+
+
 def _parse_port(text: str) -> int:
     if not (text.isascii() and text.isdigit() and 0 < int(text) <= MAX_PORT):
         raise ValueError(f"{text!r} is not a port")
--- a/mulberryswitch/platform/_settings.py
+++ b/mulberryswitch/platform/_settings.py
@@ -4,6 +4,8 @@
 
 __all__ = ["parse_settings"]
 
+_ZONES_PREFIX = "zones."
+
 
 def parse_settings(text: str) -> FrontSettings:
     """Return the settings of a VM.
@@ -22,6 +24,9 @@
     return FrontSettings(
         vm=_get_required(fields, "nodeName"),
         zone=_get_required(fields, "zone"),
+        zones=frozenset(
+            name.removeprefix(_ZONES_PREFIX) for name in fields if name.startswith(_ZONES_PREFIX)
+        ),
         packet_address=_parse_address(
             "listen.datagramAddr", _get_required(fields, "listen.datagramAddr")
         ),
--- a/mulberryswitch/platform/tests/test_records.py
+++ b/mulberryswitch/platform/tests/test_records.py
@@ -6,7 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mulberryswitch.directory import Manifest, Record, Target, TrafficKind
+from mulberryswitch.directory import (
+    Directory,
+    Manifest,
+    Position,
+    Record,
+    Target,
+    TrafficKind,
+    build_token,
+)
 from mulberryswitch.platform import decode_record
 
 TARGET = {
@@ -76,14 +84,28 @@
             {"address": "nowhere"},
             {"address": "10.0.0.1:0"},
             {"service": None},
+            {"address": "[fd00::1]:8080"},
+            {"address": "0.0.0.0:8080"},
+            {"address": "224.0.0.1:8080"},
+            {"service": ""},
+            {"zone": ""},
+            {"zone": 3},
+            {"version": None},
+            {"version": 2},
+            {"slots": 10**400},
+            {"slots": True},
+            {"coldRemainingMs": -1},
+            {"coldRemainingMs": 1e300},
             {"sequence": "x"},
+            {"sequence": -1},
             {"born": 1.5},
+            {"born": -(10**400)},
         ):
             with self.subTest(changes), self.assertLogs("platform", "WARNING"):
                 self.assertIsNone(decode_target(**changes))
 
     def test_missing_fields_are_rejected(self):
-        for name in TARGET.keys() - {"version", "born"}:
+        for name in TARGET.keys() - {"born"}:
             entry = {key: value for key, value in TARGET.items() if key != name}
             with self.subTest(name), self.assertLogs("platform", "WARNING"):
                 self.assertIsNone(decode("servers/i-1", entry))
@@ -109,6 +131,70 @@
         self.assertTrue(target is None or isinstance(target, Target))
 
 
+class ForeignRecordTest(unittest.TestCase):
+    """Another writer overwrites the entry of a target: it must name no target, others must hold."""
+
+    def setUp(self):
+        services = [{"name": "huvo11a"}, {"name": "wuno96b"}]
+        config = CONFIG | {"services": services}
+        self.directory = Directory(
+            decode=decode_record, zones=frozenset({"tw-north-a", "tw-north-b"})
+        )
+        self.apply(1, "op/config", config)
+        self.apply(2, "servers/i-1", TARGET)
+        self.apply(3, "servers/i-2", TARGET | {"address": "10.128.0.10:8080"})
+
+    def apply(self, revision: int, key: str, content) -> None:
+        value = content if isinstance(content, bytes) else json.dumps(content).encode()
+        record = Record(key=key, revision=revision, created_revision=1, value=value)
+        self.directory.apply_records(
+            records=[record], position=Position(revision=revision), now_s=float(revision)
+        )
+
+    def check_only_second_target_is_listed(self):
+        self.assertEqual({*self.directory.targets}, {"servers/i-2"})
+
+    def test_unknown_service_or_zone(self):
+        for revision, changes in enumerate(({"service": "other"}, {"zone": "elsewhere"}), start=4):
+            with self.subTest(changes):
+                self.apply(revision, "servers/i-1", TARGET | changes)
+                self.check_only_second_target_is_listed()
+
+    def test_last_good_record_serves_open_flows_until_the_target_writes_again(self):
+        first = self.directory.targets["servers/i-1"]
+        foreign = {key: value for key, value in TARGET.items() if key != "version"}
+        self.apply(4, "servers/i-1", foreign | {"service": "wuno96b", "address": "10.9.9.9:1"})
+        token = build_token(first.identity)
+        departure = self.directory.find_departure(token)
+        self.assertEqual(departure.target, first)
+        self.assertFalse(departure.is_gone(60.0))
+        self.apply(5, "servers/i-1", TARGET | {"sequence": 5})
+        self.assertEqual(self.directory.find_target(token), first)
+
+    def test_service_that_a_later_configuration_names(self):
+        self.apply(4, "servers/i-3", TARGET | {"service": "later"})
+        self.assertNotIn("servers/i-3", self.directory.targets)
+        services = [{"name": "huvo11a"}, {"name": "later"}]
+        self.apply(5, "op/config", CONFIG | {"version": 8, "services": services})
+        self.assertIn("servers/i-3", self.directory.targets)
+
+    @given(
+        st.sampled_from(sorted(TARGET.keys() - {"born"})),
+        st.one_of(st.none(), st.lists(st.integers(), max_size=2), st.just({}), st.floats(0.1, 0.9)),
+        st.booleans(),
+    )
+    def test_damaged_fields(self, name, value, is_missing):
+        """No field may be missing or of another type."""
+        damaged = TARGET | {name: value}
+        if is_missing:
+            del damaged[name]
+        elif name == "coldRemainingMs" and isinstance(value, float):
+            return
+        self.setUp()
+        self.apply(4, "servers/i-1", damaged)
+        self.check_only_second_target_is_listed()
+
+
 class ConfigTest(unittest.TestCase):
     """Decoding of the configuration; an invalid one must not replace the routes in force."""
 
