Large configurations: only what a VM lacks is sent, paced, and resumed

The pull also blocked the task that answers heartbeats, for up to a second.

The log keeps the newest change of each key, at most 2 MB; values over 64 KB travel as outlines and chunks by content, which resume; answers are paced to half of the link that the settings state; a watch over 2 MB is followed by a read of the present state; a VM whose pulls make no progress reads the store; pulls run in a task of their own; failures are logged with cause, counted and shown.

Ruled out: a higher limit of bytes (the answer grows with each version); deltas to a named version (the sender would keep former versions).

New tests cannot run on the old signatures, but test_record_of_a_later_page and test_the_log_keeps_the_newest_change fail there. test_the_log_is_bounded expected a bound of 512 changes of one key; the bound is in bytes now, and the two tests that replace it check it with many keys and the newest version with one.

--- a/mulberryswitch/contracts/__init__.py
+++ b/mulberryswitch/contracts/__init__.py
@@ -9,6 +9,8 @@
     MAX_PULL_BYTES,
     MAX_SILENT_DS,
     PULL_CODEC,
+    ChunkPart,
+    ChunkPull,
     DirectoryPart,
     DirectoryPull,
     FeedAnnounce,
@@ -29,6 +31,8 @@
 )
 
 __all__ = [
+    "ChunkPart",
+    "ChunkPull",
     "DirectoryPart",
     "DirectoryPull",
     "FEED_CODEC",
--- a/mulberryswitch/contracts/_feed.py
+++ b/mulberryswitch/contracts/_feed.py
@@ -9,6 +9,8 @@
     "FEED_CODEC",
     "MAX_PULL_BYTES",
     "PULL_CODEC",
+    "ChunkPart",
+    "ChunkPull",
     "MAX_SILENT_DS",
     "DirectoryPart",
     "DirectoryPull",
@@ -139,7 +141,8 @@
 class DirectoryPart:
     """Answer to a pull: the changes after `after`, or all records if `is_whole`.
 
-    `packed` holds the records as compressed msgpack. `heritage` belongs to all records.
+    `packed` holds the records as compressed msgpack; a large value is replaced by its outline, and
+    its chunks are fetched with ``ChunkPull``. `heritage` belongs to all records.
     """
 
     epoch: int
@@ -150,6 +153,21 @@
     heritage: HeritagePart
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChunkPull:
+    """Ask for the chunks of large values with these digests."""
+
+    fleet: str
+    digests: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChunkPart:
+    """Answer to a pull of chunks: those that the sender holds, as compressed msgpack."""
+
+    packed: bytes
+
+
 FEED_CODEC = Codec(
     message_types={
         1: Ping,
@@ -162,4 +180,7 @@
     },
     max_bytes=MAX_FEED_BYTES,
 )
-PULL_CODEC = Codec(message_types={1: DirectoryPull, 2: DirectoryPart}, max_bytes=MAX_PULL_BYTES)
+PULL_CODEC = Codec(
+    message_types={1: DirectoryPull, 2: DirectoryPart, 3: ChunkPull, 4: ChunkPart},
+    max_bytes=MAX_PULL_BYTES,
+)
--- a/mulberryswitch/directory/__init__.py
+++ b/mulberryswitch/directory/__init__.py
@@ -1,5 +1,6 @@
 """Local replica of the routes and targets that the platform's store publishes."""
 
+from ._chunks import ChunkError, ChunkStore, Outline, build_outline, index_chunks
 from ._departures import Departure, DepartureCause
 from ._directory import Directory
 from ._feed import Feed, Source
@@ -21,6 +22,8 @@
 __all__ = [
     "NO_TOKEN",
     "START",
+    "ChunkError",
+    "ChunkStore",
     "DecodeRecord",
     "Departure",
     "DepartureCause",
@@ -28,6 +31,7 @@
     "Feed",
     "Heritage",
     "Manifest",
+    "Outline",
     "Pause",
     "Position",
     "ReadAll",
@@ -39,5 +43,7 @@
     "Target",
     "TrafficKind",
     "Watch",
+    "build_outline",
     "build_token",
+    "index_chunks",
 ]
--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -127,12 +127,10 @@
         """
         if position.epoch != self.epoch:
             return False
-        changed = [
-            record
-            for record in records
-            if record.revision > self.revision and self._apply_record(record, now_s)
-        ]
-        self._log.append(changed)
+        new = [record for record in records if record.revision > self.revision]
+        changed = [record for record in new if self._apply_record(record, now_s)]
+        # A later page of a snapshot may have held some already; peers at its position lack them.
+        self._log.append(new)
         return self._complete_update(position, bool(changed), now_s)
 
     def apply_snapshot(
--- a/mulberryswitch/directory/_feed.py
+++ b/mulberryswitch/directory/_feed.py
@@ -32,6 +32,9 @@
 # Bounds the VMs of a zone that query the store during an outage that affects every reader.
 MAX_STALE_RANK = 6
 PULL_RETRY_S = 0.5
+# A VM whose pulls make no progress for this long reads the store itself.
+PULLS_FAILING_S = 3.0
+PULLS_FAILING_STEP_S = 0.25
 # Full configurations are distributed down a tree within the zone. A reader with a small link that
 # sent them to every VM would delay the packets of its own callers.
 TREE_FANOUT = 4
@@ -72,6 +75,7 @@
         self._sources: dict[str, Source] = {}
         self._started_s: float | None = None
         self._failed_pulls_s: dict[str, float] = {}
+        self._failing_since_s: float | None = None
         self._members: Sequence[Member] = ()
         self._ranked: list[Member] = []
 
@@ -82,6 +86,20 @@
     def observe_pull_failure(self, *, vm: str, now_s: float) -> None:
         """Record a failed pull, so that other sources are tried before `vm`."""
         self._failed_pulls_s[vm] = now_s
+        if self._failing_since_s is None:
+            self._failing_since_s = now_s
+
+    def observe_pull_progress(self) -> None:
+        """Record that a pull has brought something that this VM lacked."""
+        self._failing_since_s = None
+
+    def observe_up_to_date(self) -> None:
+        """Record that no peer is ahead of this VM."""
+        self._failing_since_s = None
+
+    def get_failing_s(self, now_s: float) -> float:
+        """Return for how long pulls have failed without progress, in seconds."""
+        return 0.0 if self._failing_since_s is None else now_s - self._failing_since_s
 
     def get_confirmed_s(self, position: Position) -> float:
         """Return when the store last confirmed to any reader that `position` is the newest."""
@@ -135,6 +153,9 @@
         if rank < READERS_PER_ZONE:
             return not self._is_joining(now_s)
         later = rank - READERS_PER_ZONE
+        # The ranks are staggered, as the store's answers would fill many links at once.
+        if self.get_failing_s(now_s) > PULLS_FAILING_S + PULLS_FAILING_STEP_S * later:
+            return True
         heard_s = max((s.heard_s for s in self._list_zone_readers()), default=self._started_s)
         if now_s - heard_s > SILENCE_S + SILENCE_STEP_S * min(later, MAX_SILENCE_STEPS):
             return True
--- a/mulberryswitch/front/__init__.py
+++ b/mulberryswitch/front/__init__.py
@@ -7,6 +7,7 @@
 from ._settings import (
     Adapter,
     Address,
+    AnswerTooLargeError,
     FrontSettings,
     FrontSettingsError,
     HistoryLostError,
@@ -18,6 +19,7 @@
 __all__ = [
     "Adapter",
     "Address",
+    "AnswerTooLargeError",
     "ReadResult",
     "Front",
     "FrontSettings",
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -134,7 +134,12 @@
         log.info("started", extra={"zone": self.settings.zone})
         try:
             async with asyncio.TaskGroup() as group:
-                runs = (self._run_timers, self.peers.run, self.reader.run)
+                runs = (
+                    self._run_timers,
+                    self.peers.run,
+                    self.peers.run_pulls,
+                    self.reader.run,
+                )
                 tasks = [group.create_task(_run_with_restarts(run)) for run in runs]
                 await stop.wait()
                 await self._shut_down()
--- a/mulberryswitch/front/_pages.py
+++ b/mulberryswitch/front/_pages.py
@@ -59,6 +59,7 @@
             "ready": front.is_ready,
             "stopping": front.is_stopping,
             "version": front.directory.version,
+            "pull_failure": front.peers.directory_sync.failure,
             **self._read_gauges(),
         }
         return HttpResponse(status=200, body=json.dumps(status).encode())
@@ -85,5 +86,6 @@
             "targets": len(front.directory.targets),
             "flows": len(front.forwarder.flows.flows),
             "members": len(front.peers.membership.live()),
+            "pulls_failing_s": round(front.peers.feed.get_failing_s(front.clock()), 3),
             "confirmed_age_s": round(min(front.peers.get_confirmed_age_s(), MAX_REPORTED_AGE_S), 3),
         }
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -26,7 +26,10 @@
 from mulberryswitch.vms import Member, Membership, pick_readers
 
 from ._load_exchange import OTHER_ZONES, LoadExchange
-from ._pulls import DirectorySync, pack_records, unpack_records
+from ._pacing import TransferPacer
+from ._packing import pack_records, unpack_records
+from ._pull_server import PullServer
+from ._pulls import DirectorySync
 from ._settings import Address, FrontSettings
 
 __all__ = ["PeerService"]
@@ -98,10 +101,17 @@
             port=settings.peer_address.port,
             receive=self._receive,
         )
-        self.directory_sync = DirectorySync(
+        self.pull_server = PullServer(
             address=settings.peer_address,
             fleet=self.fleet,
             directory=directory,
+            pacer=TransferPacer(link_bytes_per_s=settings.link_bytes_per_s),
+            count=count,
+            clock=clock,
+        )
+        self.directory_sync = DirectorySync(
+            server=self.pull_server,
+            directory=directory,
             feed=self.feed,
             report_change=report_change,
             count=count,
@@ -146,13 +156,13 @@
     async def start(self) -> None:
         """Open the sockets and start the server for pulls."""
         self._socket.start()
-        await self.directory_sync.start()
+        await self.pull_server.start()
         self._observe_seeds()
 
     def apply_settings(self, *, seeds: tuple[Address, ...], store_address: Address) -> None:
         """Use new seeds, and exchange state only with VMs that use the same store."""
         self.settings = replace(self.settings, seeds=seeds, store_address=store_address)
-        self.fleet = self.directory_sync.fleet = _build_fleet_name(store_address)
+        self.fleet = self.pull_server.fleet = _build_fleet_name(store_address)
         self._observe_seeds()
 
     def _observe_seeds(self) -> None:
@@ -172,7 +182,15 @@
             self._send_load_share(now_s)
             self._bootstrap(now_s)
             self._apply_due(now_s)
-            await self.directory_sync.pull(members=self.membership.live(), now_s=now_s)
+
+    async def run_pulls(self) -> None:
+        """Pull what peers are ahead, until the task is cancelled.
+
+        A task of its own, since a large transfer must not delay heartbeats.
+        """
+        while True:
+            await asyncio.sleep(TICK_S)
+            await self.directory_sync.pull(members=self.membership.live(), now_s=self.clock())
 
     def _apply_due(self, now_s: float) -> None:
         if self.directory.due_s == math.inf:
@@ -200,7 +218,7 @@
 
     def observe_change(self) -> None:
         """Announce a change of the directory at once instead of at the next tick."""
-        self.directory_sync.observe_change()
+        self.pull_server.observe_change()
         if self._was_reader and self.directory.position != self._announced:
             self._last_announce_s = float("-inf")
             self._announce(self.clock())
@@ -265,7 +283,7 @@
     def stop(self) -> None:
         """Close the sockets and stop the server for pulls."""
         self._socket.stop()
-        self.directory_sync.stop()
+        self.pull_server.stop()
 
     # Sending
 
--- a/mulberryswitch/front/_pulls.py
+++ b/mulberryswitch/front/_pulls.py
@@ -1,105 +1,92 @@
 """Pulls: a VM whose directory is behind fetches the missing records from a peer over TCP."""
 
 import asyncio
-import contextlib
 import logging
-import zlib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
 from dataclasses import replace
-
-import msgpack
+from typing import Any
 
 from mulberryswitch.contracts import (
-    MAX_PULL_BYTES,
     PULL_CODEC,
+    ChunkPart,
+    ChunkPull,
     DecodeError,
     DirectoryPart,
     DirectoryPull,
-    HeritagePart,
 )
-from mulberryswitch.directory import START, Directory, Feed, Heritage, Position, Record, Source
+from mulberryswitch.directory import (
+    START,
+    ChunkError,
+    ChunkStore,
+    Directory,
+    Feed,
+    Outline,
+    Position,
+    Record,
+    Source,
+)
 from mulberryswitch.transport import parse_host_port, read_messages, write_messages
 from mulberryswitch.vms import Member
 
-from ._settings import Address
+from ._packing import unpack_chunks, unpack_heritage, unpack_part
+from ._pull_server import PullServer
 
-__all__ = ["DirectorySync", "pack_records", "unpack_records"]
+__all__ = ["DirectorySync"]
 
 PULL_TIMEOUT_S = 1.0
-# A peer that has nothing newer yet delays its answer for up to this time (long polling).
-LONG_POLL_S = 0.4
+# A peer with a small link serves several VMs in turn, so chunks take longer than records.
+CHUNK_TIMEOUT_S = 2.0
+# What arrives in one answer is kept if a later one fails.
+CHUNKS_PER_PULL = 32
 
 log = logging.getLogger("peers")
 
 
-def pack_records(records: Iterable[Record]) -> bytes:
-    """Return records encoded and compressed for a pull."""
-    rows = [(r.key, r.epoch, r.revision, r.created_revision, r.value) for r in records]
-    return zlib.compress(msgpack.packb(rows), level=1)
-
+class _Connection:
+    """Connection to a peer's pull server, for one request at a time."""
 
-def unpack_records(packed: bytes) -> list[Record]:
-    """Return the records that ``pack_records`` encoded.
+    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self._writer = writer
+        self._messages = read_messages(reader, PULL_CODEC)
 
-    Raises
-    ------
-    DecodeError
-        If the bytes are malformed, or exceed ``MAX_PULL_BYTES`` when decompressed.
-    """
-    try:
-        decompressor = zlib.decompressobj()
-        data = decompressor.decompress(packed, MAX_PULL_BYTES)
-        if decompressor.unconsumed_tail:
-            raise DecodeError(f"records exceed {MAX_PULL_BYTES} bytes")
-        if not decompressor.eof:
-            raise DecodeError("records are incomplete")
-        return [_build_record(*row) for row in msgpack.unpackb(data)]
-    except DecodeError:
-        raise
-    except Exception as exc:  # zlib and msgpack raise unrelated types on bad input
-        raise DecodeError(f"malformed records: {type(exc).__name__}") from exc
+    async def request(self, message: Any, answer_type: type, *, timeout_s: float) -> Any:
+        """Send a message and return the answer.
 
-
-def _build_record(
-    key: str, epoch: int, revision: int, created_revision: int, value: bytes | None
-) -> Record:
-    if type(key) is not str or {*map(type, (epoch, revision, created_revision))} != {int}:
-        raise DecodeError("record has a key, epoch or revision of the wrong type")
-    if value is not None and type(value) is not bytes:
-        raise DecodeError("record value is not bytes")
-    return Record(
-        key=key, epoch=epoch, revision=revision, created_revision=created_revision, value=value
-    )
-
-
-def _pack_heritage(heritage: Heritage) -> HeritagePart:
-    return HeritagePart(
-        former_epoch=heritage.former.epoch,
-        former_revision=heritage.former.revision,
-        age_ms=int(heritage.age_s * 1000),
-        kept=tuple(heritage.kept),
-        withheld=tuple(heritage.withheld),
-    )
+        Raises
+        ------
+        OSError
+            If the connection fails, or no answer arrives within `timeout_s` seconds.
+        DecodeError
+            If the answer is malformed or of another type.
+        """
+        async with asyncio.timeout(timeout_s):
+            write_messages(self._writer, PULL_CODEC, [message])
+            answers = await anext(self._messages, None)
+        if answers is None:
+            raise DecodeError("connection closed before an answer")
+        if not isinstance(answers[0], answer_type):
+            raise DecodeError(f"answer is not a {answer_type.__name__}")
+        return answers[0]
 
 
-def _unpack_heritage(part: HeritagePart) -> Heritage:
-    return Heritage(
-        former=Position(part.former_epoch, part.former_revision),
-        age_s=part.age_ms / 1000,
-        kept=frozenset(part.kept),
-        withheld=frozenset(part.withheld),
-    )
+@asynccontextmanager
+async def _connect(address: str) -> AsyncIterator[_Connection]:
+    async with asyncio.timeout(PULL_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(*parse_host_port(address))
+    try:
+        yield _Connection(reader=reader, writer=writer)
+    finally:
+        writer.transport.abort()
 
 
 class DirectorySync:
-    """Client and server of the pulls of one VM.
+    """Keeps the directory of one VM up to date with its peers.
 
     Parameters
     ----------
-    address : Address
-        Address on which peers connect to the server.
-    fleet : str
-        Identifier of the fleet; pulls of another fleet are refused.
+    server : PullServer
+        This VM's own server, which knows the chunks that the VM holds.
     directory : Directory
     feed : Feed
     report_change : callable
@@ -108,62 +95,66 @@
         ``count(name, amount)`` adds to a counter.
     clock : callable
         Monotonic clock in seconds.
+
+    Attributes
+    ----------
+    failure : str
+        Cause of the last failed pull; empty after one that succeeded.
     """
 
     def __init__(
         self,
         *,
-        address: Address,
-        fleet: str,
+        server: PullServer,
         directory: Directory,
         feed: Feed,
         report_change: Callable[[], None],
         count: Callable[[str, int], None],
         clock: Callable[[], float],
     ):
-        self.address = address
-        self.fleet = fleet
+        self.server = server
         self.directory = directory
         self.feed = feed
         self.report_change = report_change
         self.count = count
         self.clock = clock
-        self._server: asyncio.Server | None = None
-        self._cached_part: tuple[tuple[Position, Position], DirectoryPart] | None = None
-        self._changed = asyncio.Event()
-
-    async def start(self) -> None:
-        """Start the server."""
-        self._server = await asyncio.start_server(self._serve_peer, *self.address)
-
-    def stop(self) -> None:
-        """Stop the server."""
-        if self._server is not None:
-            self._server.close()
-
-    def observe_change(self) -> None:
-        """Wake the pulls that wait for a change of the directory."""
-        self._cached_part = None
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.failure = ""
+        self._fetched = ChunkStore()
 
     async def pull(self, *, members: Sequence[Member], now_s: float) -> None:
         """Fetch the missing records from a peer that is ahead, if there is one."""
         source = self.feed.pick_source(members=members, is_ahead=self._is_ahead, now_s=now_s)
         if source is None:
+            self.feed.observe_up_to_date()
             return
         try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                part = await self._fetch_part(source)
-            records = unpack_records(part.packed)
-        except (OSError, DecodeError) as exc:
-            log.info(
-                "directory pull failed", extra={"peer": source.vm, "error": str(exc) or "timeout"}
-            )
-            self.feed.observe_pull_failure(vm=source.vm, now_s=self.clock())
+            async with _connect(source.address) as conn:
+                part = await self._fetch_part(conn, source)
+                records = await self._fetch_values(conn, part)
+        except (OSError, DecodeError, ChunkError) as exc:
+            self._observe_failure(source, str(exc) or type(exc).__name__)
+            self._fetched.trim()
             return
+        self.failure = ""
+        self._fetched.clear()
         self._apply_part(part, records, source)
 
+    def _observe_failure(self, source: Source, cause: str) -> None:
+        self.failure = cause
+        self.count("pulls_failed", 1)
+        now_s = self.clock()
+        self.feed.observe_pull_failure(vm=source.vm, now_s=now_s)
+        log.warning(
+            "directory pull failed",
+            extra={
+                "peer": source.vm,
+                "error": cause,
+                "failing_s": round(self.feed.get_failing_s(now_s), 1),
+                "revision": self.directory.revision,
+                "peer_revision": source.position.revision,
+            },
+        )
+
     def _is_ahead(self, source: Source) -> bool:
         """Return whether a peer has records of the store, or from before a restore, to give."""
         return source.position > self.directory.position or self._has_heritage(source)
@@ -179,12 +170,47 @@
         )
         return has_newer_config or (source.keeps_heritage and directory.needs_heritage)
 
+    async def _fetch_part(self, conn: _Connection, source: Source) -> DirectoryPart:
+        # What is known from before a restore comes with all records only.
+        after = START if self._has_heritage(source) else self.directory.position
+        pull = DirectoryPull(fleet=self.server.fleet, epoch=after.epoch, after=after.revision)
+        return await conn.request(pull, DirectoryPart, timeout_s=PULL_TIMEOUT_S)
+
+    async def _fetch_values(self, conn: _Connection, part: DirectoryPart) -> list[Record]:
+        """Return the records of a part with the large values that it only outlines."""
+        return [
+            (
+                item.record
+                if item.outline is None
+                else replace(item.record, value=await self._fetch_value(conn, item.outline))
+            )
+            for item in unpack_part(part.packed)
+        ]
+
+    async def _fetch_value(self, conn: _Connection, outline: Outline) -> bytes:
+        known = self.server.get_chunks()
+        missing = self._fetched.list_missing(outline, known)
+        for start in range(0, len(missing), CHUNKS_PER_PULL):
+            digests = tuple(missing[start : start + CHUNKS_PER_PULL])
+            pull = ChunkPull(fleet=self.server.fleet, digests=digests)
+            answer = await conn.request(pull, ChunkPart, timeout_s=CHUNK_TIMEOUT_S)
+            chunks = unpack_chunks(answer.packed)
+            self.count("chunks_fetched", len(chunks))
+            if self._fetched.add(chunks):
+                self.feed.observe_pull_progress()
+        if self._fetched.list_missing(outline, known):
+            # The peer has a newer value by now, of which the next pull gets the outline.
+            raise ChunkError("peer no longer holds all chunks of the value")
+        return self._fetched.assemble(outline, known)
+
     def _apply_part(self, part: DirectoryPart, records: list[Record], source: Source) -> None:
         previous = self.directory.position
         if self._apply_records(part, records):
             self.report_change()
         if self.directory.position <= previous and self._is_ahead(source):
-            self.feed.observe_pull_failure(vm=source.vm, now_s=self.clock())
+            self._observe_failure(source, "peer has nothing newer")
+        else:
+            self.feed.observe_pull_progress()
 
     def _apply_records(self, part: DirectoryPart, records: list[Record]) -> bool:
         """Apply the records of a part without a gap; return whether any was new."""
@@ -195,70 +221,8 @@
                 records=records,
                 position=position,
                 now_s=now_s,
-                heritage=_unpack_heritage(part.heritage),
+                heritage=unpack_heritage(part.heritage),
             )
         if part.after > self.directory.revision:
             return False
         return self.directory.apply_records(records=records, position=position, now_s=now_s)
-
-    async def _fetch_part(self, source: Source) -> DirectoryPart:
-        # What is known from before a restore comes with all records only.
-        after = START if self._has_heritage(source) else self.directory.position
-        reader, writer = await asyncio.open_connection(*parse_host_port(source.address))
-        try:
-            pull = DirectoryPull(fleet=self.fleet, epoch=after.epoch, after=after.revision)
-            write_messages(writer, PULL_CODEC, [pull])
-            async for messages in read_messages(reader, PULL_CODEC):
-                if isinstance(messages[0], DirectoryPart):
-                    return messages[0]
-            raise DecodeError("connection closed before an answer")
-        finally:
-            writer.transport.abort()
-
-    async def _serve_peer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                async for messages in read_messages(reader, PULL_CODEC):
-                    await self._handle_pull(messages[0], writer)
-                    await writer.drain()
-        except (OSError, DecodeError) as exc:
-            log.info(
-                "directory pull of a peer not served",
-                extra={"error": str(exc) or type(exc).__name__},
-            )
-        finally:
-            writer.close()
-
-    async def _handle_pull(self, pull, writer: asyncio.StreamWriter) -> None:
-        if not isinstance(pull, DirectoryPull) or pull.fleet != self.fleet:
-            raise DecodeError("message is not a pull of this fleet")
-        after = Position(pull.epoch, pull.after)
-        if self.directory.position <= after:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LONG_POLL_S):
-                    await self._changed.wait()
-        self.count("pulls_served", 1)
-        write_messages(writer, PULL_CODEC, [self._get_part(after)])
-
-    def _get_part(self, after: Position) -> DirectoryPart:
-        """Return the answer to a pull; the last one is cached as several peers request the same."""
-        position = self.directory.position
-        if self._cached_part is None or self._cached_part[0] != (after, position):
-            self._cached_part = ((after, position), self._build_part(after, position))
-        part = self._cached_part[1]
-        if not part.is_whole:
-            return part
-        # The age of the heritage goes on while the records are cached.
-        return replace(part, heritage=_pack_heritage(self.directory.build_heritage(self.clock())))
-
-    def _build_part(self, after: Position, position: Position) -> DirectoryPart:
-        changes = self.directory.list_changes(after)
-        is_whole = changes is None
-        return DirectoryPart(
-            epoch=position.epoch,
-            revision=position.revision,
-            after=after.revision,
-            is_whole=is_whole,
-            packed=pack_records(self.directory.list_records() if is_whole else changes),
-            heritage=HeritagePart(),
-        )
--- a/mulberryswitch/front/_settings.py
+++ b/mulberryswitch/front/_settings.py
@@ -13,6 +13,7 @@
     "ReadResult",
     "FrontSettings",
     "FrontSettingsError",
+    "AnswerTooLargeError",
     "Store",
     "StoreError",
     "HistoryLostError",
@@ -27,6 +28,10 @@
     """A read of the store failed or returned an invalid response."""
 
 
+class AnswerTooLargeError(StoreError):
+    """The changes after the requested position are too many for one answer."""
+
+
 class HistoryLostError(StoreError):
     """The store does not have the changes after the requested position.
 
@@ -62,6 +67,8 @@
         Addresses this VM listens on; `peer_address` for both TCP and UDP.
     seeds : tuple of Address
         Peer addresses of some VMs, used to join the fleet; some may be out of date.
+    link_bytes_per_s : float
+        Capacity of this VM's link; infinite if it is not known.
     shutdown_s : float
         Time in seconds from the request to stop within which the process has to end.
     flow_lifetime_s : float
@@ -77,6 +84,7 @@
     metrics_address: Address
     seeds: tuple[Address, ...]
     store_address: Address
+    link_bytes_per_s: float = float("inf")
     shutdown_s: float = 6.0
     flow_lifetime_s: float = 60.0
 
@@ -107,6 +115,8 @@
         ------
         HistoryLostError
             If the store does not have these changes.
+        AnswerTooLargeError
+            If these changes exceed one answer.
         StoreError
             If the read fails.
         """
--- a/mulberryswitch/front/_store_reader.py
+++ b/mulberryswitch/front/_store_reader.py
@@ -7,7 +7,7 @@
 
 from mulberryswitch.directory import Directory, Pause, ReadAll, ReadPlanner, Watch
 
-from ._settings import HistoryLostError, Store, StoreError
+from ._settings import AnswerTooLargeError, HistoryLostError, Store, StoreError
 
 __all__ = ["StoreReader"]
 
@@ -85,6 +85,12 @@
                     },
                 )
                 self.planner.observe_history_lost()
+            except AnswerTooLargeError as exc:
+                log.warning(
+                    "changes of the store are too large, reading all records",
+                    extra={"error": str(exc), "replica_revision": self.directory.revision},
+                )
+                self._observe_too_large(step)
             except StoreError as exc:
                 self._observe_failure(exc)
 
@@ -103,6 +109,14 @@
         if apply(records=result.records, position=result.position, now_s=now_s):
             self.report_change()
 
+    def _observe_too_large(self, step: ReadAll | Watch) -> None:
+        """Read the present state next; a present state that is too large is a failed read."""
+        self.count("store_answers_too_large", 1)
+        if isinstance(step, Watch):
+            self.planner.observe_history_lost()
+        else:
+            self._observe_failure(StoreError("all records exceed one answer"))
+
     def _observe_failure(self, exc: StoreError) -> None:
         self.count("store_reads_failed", 1)
         if not self.planner.failures:
--- a/mulberryswitch/platform/_settings.py
+++ b/mulberryswitch/platform/_settings.py
@@ -4,6 +4,7 @@
 
 __all__ = ["parse_settings"]
 
+BYTES_PER_MEGABIT = 125_000
 _ZONES_PREFIX = "zones."
 
 
@@ -41,6 +42,8 @@
             if seed
         ),
         store_address=_parse_address("platform.address", _get_required(fields, "platform.address")),
+        link_bytes_per_s=_parse_positive("limits.linkMbps", fields.get("limits.linkMbps") or "1e9")
+        * BYTES_PER_MEGABIT,
         shutdown_s=_parse_positive("bounds.graceS", fields.get("bounds.graceS", "6")),
         flow_lifetime_s=_parse_positive("bounds.flowMaxS", fields.get("bounds.flowMaxS", "60")),
     )
--- a/mulberryswitch/platform/_store.py
+++ b/mulberryswitch/platform/_store.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from mulberryswitch.directory import Position, Record
-from mulberryswitch.front import HistoryLostError, StoreError
-from mulberryswitch.transport import HttpClient, HttpError
+from mulberryswitch.front import AnswerTooLargeError, HistoryLostError, StoreError
+from mulberryswitch.transport import BodyTooLargeError, HttpClient, HttpError
 
 __all__ = ["StoreReadResult", "StoreClient"]
 
@@ -19,6 +19,9 @@
 # The store answers a watch at the end of its wait at the latest; without an answer after this
 # additional time the connection is taken for dead.
 WATCH_MARGIN_S = 0.8
+# Room for the largest value of the store, encoded, and the usual changes beside it. Several large
+# values in one answer are versions of one key, of which only the newest is needed.
+MAX_WATCH_BYTES = 2 * 1024 * 1024
 HTTP_OK = 200
 HTTP_GONE = 410
 # Rises by one each time the store comes back from an older copy. A store without it is in epoch 0.
@@ -116,12 +119,18 @@
         HistoryLostError
             If the store no longer keeps these changes, or has entered another epoch, in which the
             revision of `after` stands for another change.
+        AnswerTooLargeError
+            If these changes exceed ``MAX_WATCH_BYTES``.
         StoreError
             If the store cannot be reached or its answer is invalid.
         """
         query = {"prefix": "", "after": str(after.revision), "waitMs": str(int(wait_s * 1000))}
         answer, epoch = await self._read(
-            "/-/kv-watch", query, wait_s + WATCH_MARGIN_S, _decode_watch
+            "/-/kv-watch",
+            query,
+            wait_s + WATCH_MARGIN_S,
+            _decode_watch,
+            max_bytes=MAX_WATCH_BYTES,
         )
         if epoch < after.epoch:
             self._reject(f"epoch {epoch} after epoch {after.epoch}")
@@ -145,9 +154,14 @@
         """Close the connection."""
         self._http.close()
 
-    async def _read(self, path: str, query: dict[str, str], timeout_s: float, decode):
+    async def _read(
+        self, path: str, query: dict[str, str], timeout_s: float, decode, **options: int
+    ):
+        url = f"{path}?{urlencode(query)}"
         try:
-            response = await self._http.get(path=f"{path}?{urlencode(query)}", timeout_s=timeout_s)
+            response = await self._http.get(path=url, timeout_s=timeout_s, **options)
+        except BodyTooLargeError as exc:
+            raise AnswerTooLargeError(str(exc)) from exc
         except HttpError as exc:
             raise StoreError(str(exc)) from exc
         epoch = _parse_epoch(response.headers.get(EPOCH_HEADER, "0"))
--- a/mulberryswitch/transport/_http.py
+++ b/mulberryswitch/transport/_http.py
@@ -6,17 +6,21 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
 import h11
 
-__all__ = ["HttpClient", "HttpError", "HttpResponse", "HttpServer"]
+__all__ = ["BodyTooLargeError", "HttpClient", "HttpError", "HttpResponse", "HttpServer"]
 
 READ_BYTES = 64 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_EVENT_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
+# A response that has begun may take longer than its timeout as long as bytes keep arriving: a large
+# one needs seconds on a small link.
+STALL_TIMEOUT_S = 0.8
+MAX_EXTENSION_S = 8.0
 IDLE_TIMEOUT_S = 30.0
 
 log = logging.getLogger("transport")
@@ -26,6 +30,10 @@
     """A request failed or received no complete response."""
 
 
+class BodyTooLargeError(HttpError):
+    """The body of a response exceeds the limit of the request."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpResponse:
     """Status and body of a response; `headers` of a received one, with names in lower case."""
@@ -51,20 +59,28 @@
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._protocol: h11.Connection | None = None
 
-    async def get(self, *, path: str, timeout_s: float) -> HttpResponse:
+    async def get(
+        self, *, path: str, timeout_s: float, max_bytes: int = MAX_BODY_BYTES
+    ) -> HttpResponse:
         """Return the response to ``GET path``.
 
         Raises
         ------
+        BodyTooLargeError
+            If the body exceeds `max_bytes`; it is not read further.
         HttpError
-            If the connection fails, or no complete response arrives within `timeout_s` seconds. The
+            If the connection fails, or no complete response arrives within `timeout_s` seconds. A
+            response that has begun may take ``MAX_EXTENSION_S`` longer while it keeps arriving. The
             connection is then closed, because a late response could be taken for that of the next
             request.
         """
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 await self._connect()
-                return await self._send_request(path)
+                return await self._send_request(path, limit, max_bytes)
+        except BodyTooLargeError:
+            self.close()
+            raise
         except (OSError, h11.ProtocolError, EOFError) as exc:
             self.close()
             raise HttpError(f"GET {self.host}:{self.port}: {exc or type(exc).__name__}") from exc
@@ -93,14 +109,16 @@
             self._streams = await asyncio.open_connection(self.host, self.port)
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_EVENT_BYTES)
 
-    async def _send_request(self, path: str) -> HttpResponse:
+    async def _send_request(
+        self, path: str, limit: asyncio.Timeout, max_bytes: int
+    ) -> HttpResponse:
         # ``close`` may reset the attributes while the response is awaited.
         protocol, (reader, writer) = self._protocol, self._streams
         request = h11.Request(
             method="GET", target=path, headers=[("Host", f"{self.host}:{self.port}")]
         )
         writer.write(protocol.send(request) + protocol.send(h11.EndOfMessage()))
-        response = await _read_response(protocol, reader)
+        response = await _read_response(protocol, _build_reader(reader, limit), max_bytes)
         is_done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         if is_done and not protocol.trailing_data[0]:
             protocol.start_next_cycle()
@@ -121,27 +139,50 @@
     return True
 
 
-async def _read_response(protocol: h11.Connection, reader: asyncio.StreamReader) -> HttpResponse:
+def _build_reader(
+    reader: asyncio.StreamReader, limit: asyncio.Timeout
+) -> Callable[[], Awaitable[bytes]]:
+    """Return a function that reads bytes and defers `limit` while they keep arriving."""
+    latest_s = limit.when() + MAX_EXTENSION_S
+
+    async def read() -> bytes:
+        data = await reader.read(READ_BYTES)
+        if data:
+            stalled_s = asyncio.get_running_loop().time() + STALL_TIMEOUT_S
+            limit.reschedule(min(latest_s, max(limit.when(), stalled_s)))
+        return data
+
+    return read
+
+
+async def _read_response(
+    protocol: h11.Connection, read: Callable[[], Awaitable[bytes]], max_bytes: int
+) -> HttpResponse:
     status, headers, body = 0, {}, bytearray()
     while True:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
-            protocol.receive_data(await reader.read(READ_BYTES))
+            protocol.receive_data(await read())
         elif isinstance(event, h11.Response):
             status = event.status_code
             headers = {
                 name.decode("ascii"): value.decode("latin-1") for name, value in event.headers
             }
+            _check_size(int(headers.get("content-length", "0")), max_bytes)
         elif isinstance(event, h11.Data):
             body += event.data
-            if len(body) > MAX_BODY_BYTES:
-                raise HttpError(f"response body exceeds {MAX_BODY_BYTES} bytes")
+            _check_size(len(body), max_bytes)
         elif isinstance(event, h11.EndOfMessage):
             return HttpResponse(status=status, body=bytes(body), headers=headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise HttpError("connection closed before a complete response")
 
 
+def _check_size(size_bytes: int, max_bytes: int) -> None:
+    if size_bytes > max_bytes:
+        raise BodyTooLargeError(f"response body of {size_bytes} bytes exceeds {max_bytes}")
+
+
 class HttpServer:
     """HTTP server for GET requests; used for readiness, metrics and status.
 
