Evidence about a silent target in a module of its own; one caller or one VM is one witness

Change: forwarding._evidence keeps witnesses by VM and caller; open flows are given up only if two agree that share neither (callers alone where a VM has no peers) and nobody had an answer since. Reports name their witnesses, so word that comes twice counts once. A target without a record is checked by a request: 2.5 s without an answer to it, or witnesses that agreed since its last answer. A withheld target that answers on an open flow is used for new flows at once.

Ruled out: using each lapsed target's record of a restored store at once (nine tests of targets that ended fail); a TCP connection as the check (an address may belong to another process by then).

--- a/mulberryswitch/contracts/_feed.py
+++ b/mulberryswitch/contracts/_feed.py
@@ -14,6 +14,7 @@
     "MAX_SILENT_DS",
     "DirectoryPart",
     "DirectoryPull",
+    "FailureWitness",
     "FeedAnnounce",
     "HeritagePart",
     "LoadEntry",
@@ -87,11 +88,21 @@
     entries: tuple[LoadEntry, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FailureWitness:
+    """VM that saw an opening of `caller`, an IPv4 address as an integer, fail at a target."""
+
+    vm: str
+    caller: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetSilent:
     """The sender ejected a target for `ejection_ms`; `is_dark` if its open flows are silent too.
 
-    `ejection_ms` is 0 if the sender relays a report from another zone.
+    `ejection_ms` is 0 if the sender relays a report from another zone. `witnesses` names the VMs
+    that saw openings fail at the target, each with the address of the caller; those of other VMs are
+    sent along only if the sender found the target unresponsive itself.
     """
 
     fleet: str
@@ -100,6 +111,7 @@
     token: int
     ejection_ms: int
     is_dark: bool
+    witnesses: tuple[FailureWitness, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -201,6 +201,18 @@
                 self._table.list_target(content, now_s)
         return self._complete_update(self.position, True, now_s)
 
+    def apply_sign_of_life(self, token: int, now_s: float) -> bool:
+        """List a withheld target that has answered a caller; return whether it was withheld."""
+        departure = self.find_departure(token)
+        key = departure.target.key if departure else None
+        if key not in self._transition.withheld_until_s:
+            return False
+        self._transition.settle(key)
+        content = self.decode(self._records[key])
+        if isinstance(content, Target) and content.identity == departure.target.identity:
+            self._table.list_target(content, now_s)
+        return self._complete_update(self.position, True, now_s)
+
     def observe_outage_end(self, now_s: float) -> None:
         """Record that the store answers again, so that targets can register again from now on."""
         self._transition.observe_outage_end(now_s)
--- a/mulberryswitch/directory/tests/test_restore.py
+++ b/mulberryswitch/directory/tests/test_restore.py
@@ -246,6 +246,15 @@
         self.restore(build_target_record("t1", 15, epoch=2), revision=15)
         self.assertEqual(self.get_serving(RESTORED_S), {"t1"})
 
+    def test_withheld_target_that_answers_a_caller_is_used(self):
+        """It was only cut off from the store."""
+        self.leave()
+        self.restore()
+        self.assertFalse(self.directory.apply_sign_of_life(get_token("t3"), RESTORED_S))
+        self.assertTrue(self.directory.apply_sign_of_life(get_token("t1"), RESTORED_S))
+        self.assertEqual(self.get_serving(RESTORED_S), {"t1"})
+        self.assertFalse(self.directory.apply_sign_of_life(get_token("t1"), RESTORED_S))
+
     def test_lapse_during_the_outage_does_not_withhold(self):
         self.leave(now_s=RESTORED_S - 1.0)
         self.restore()
--- a/mulberryswitch/forwarding/__init__.py
+++ b/mulberryswitch/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding of callers' packets: placement of new flows, token routing, and target health."""
 
+from ._evidence import Witness
 from ._explanation import FlowExplanation, TargetView, explain_flow, parse_flow
 from ._flows import Flow, FlowTable
 from ._forwarder import Forwarder
@@ -14,6 +15,7 @@
 from ._placement import Candidate, pick_service, pick_target, sample_targets
 
 __all__ = [
+    "Witness",
     "Action",
     "Candidate",
     "Flow",
--- a/mulberryswitch/forwarding/_explanation.py
+++ b/mulberryswitch/forwarding/_explanation.py
@@ -87,7 +87,7 @@
 
 def _view_target(forwarder: Forwarder, target: Target, now_s: float) -> TargetView:
     load = forwarder.loads.get_or_create(build_token(target.identity))
-    answered_s = load.health.answered_s
+    answered_s = load.health.evidence.answered_s
     return TargetView(
         key=target.key,
         zone=target.zone,
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -16,6 +16,7 @@
     build_token,
 )
 
+from ._evidence import Witness
 from ._flows import Flow, FlowTable
 from ._loads import TargetHealth, TargetLoads
 from ._packets import Action, FlowKey, Forward, Packet, Reset, format_flow
@@ -38,9 +39,6 @@
 RESET_AFTER_SILENCE_S = 0.5
 # An unknown token may belong to a target that a peer has already learned of and this VM has not.
 UNKNOWN_TOKEN_GRACE_S = 1.0
-# Silence after which a target without a record is considered ended. A record lapses after several
-# missed heartbeats, so a target that has crashed has been silent for longer by then.
-LAPSED_SILENCE_S = 2.5
 COLD_SPEED = 0.6
 # After a longer gap between ticks, the missing answers may wait unread in the socket.
 PAUSE_THRESHOLD_S = 0.3
@@ -68,6 +66,8 @@
         Replica of the routes and targets.
     zone : str
         Availability zone of this VM.
+    vm : str
+        Name of this VM, which it reports as a witness.
     rng : Random
         Source of randomness for the sampling of targets.
     count : callable
@@ -85,6 +85,7 @@
         *,
         directory: Directory,
         zone: str,
+        vm: str = "",
         rng: Random,
         count: Callable[[str, int], None],
         report_unresponsive: Callable[[int, TargetHealth], None] = lambda token, health: None,
@@ -96,6 +97,7 @@
         self.report_suspicion = report_suspicion
         self.directory = directory
         self.zone = zone
+        self.vm = vm
         self.rng = rng
         self.count = count
         self.loads = TargetLoads()
@@ -211,7 +213,10 @@
         ]
         for token in {*tokens, *refused} - {packet.token}:
             health = self.loads.get_or_create(token).health
-            if health.observe_confirmed_failure(since_s=flow.opened_s, now_s=now_s):
+            witness = Witness(vm=self.vm, caller=packet.flow[0])
+            if health.observe_confirmed_failure(
+                witness=witness, since_s=flow.opened_s, now_s=now_s
+            ):
                 self.report_unresponsive(token, health)
 
     def _place(
@@ -320,7 +325,7 @@
         health = self.loads.get_or_create(flow.token).health
         if health.is_unresponsive(now_s):
             return True
-        if flow.repeats and health.last_answer_s < flow.sent_s:
+        if flow.repeats and health.evidence.last_answer_s < flow.sent_s:
             self.loads.observe_suspicion(flow.token, now_s)
             self.report_suspicion(flow.token)
         if not flow.repeats or now_s - flow.sent_s < RESET_AFTER_SILENCE_S:
@@ -338,7 +343,8 @@
             return []
         departure = self.directory.find_departure(packet.token)
         flow = self.flows.apply_packet(packet=packet, is_long=False, now_s=now_s)
-        if departure is not None and not self._is_gone(departure, now_s):
+        if departure is not None and not self._is_gone(departure, flow, now_s):
+            self._observe_departed_answer(departure, packet.token, now_s)
             return [Forward(packet=packet, target=departure.target)]
         if departure is None and (flow is None or now_s - flow.opened_s < UNKNOWN_TOKEN_GRACE_S):
             self.count("packets_of_unknown_targets", 1)
@@ -346,7 +352,7 @@
         self.flows.remove(packet.flow)
         return self._reset(packet, "target gone")
 
-    def _is_gone(self, departure: Departure, now_s: float) -> bool:
+    def _is_gone(self, departure: Departure, flow: Flow | None, now_s: float) -> bool:
         """Return whether the flows of a departed target are lost.
 
         A target whose record lapsed may only be cut off from the store. As long as it answers
@@ -354,11 +360,17 @@
         """
         if not departure.is_gone(now_s):
             return False
+        if departure.cause is not DepartureCause.LAPSED:
+            return True
         health = self.loads.get_or_create(build_token(departure.target.identity)).health
-        return (
-            departure.cause is not DepartureCause.LAPSED
-            or now_s - health.last_answer_s > LAPSED_SILENCE_S
-        )
+        since_s = flow.sent_s if flow is not None and flow.busy else now_s
+        return health.evidence.is_gone_without_record(since_s=since_s, now_s=now_s)
+
+    def _observe_departed_answer(self, departure: Departure, token: int, now_s: float) -> None:
+        """Use a target again for new flows if it has answered since its record lapsed."""
+        answered_s = self.loads.get_or_create(token).health.evidence.last_answer_s
+        if departure.cause is DepartureCause.LAPSED and answered_s > departure.departed_s:
+            self.directory.apply_sign_of_life(token, now_s)
 
     def _reset(self, packet: Packet, reason: str) -> list[Action]:
         if packet.resets:
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -12,6 +12,8 @@
 
 from mulberryswitch.contracts import MAX_SILENT_DS, LoadEntry
 
+from ._evidence import TargetEvidence, Witness
+
 __all__ = [
     "TargetHealth",
     "TargetLoad",
@@ -26,14 +28,8 @@
 SUSPICION_TTL_S = 0.5
 # A peer's report is ignored if the target has answered this recently.
 REPORT_LAG_S = 0.2
-# Consecutive confirmed failures of openings after which a target counts as unreachable. Openings
-# are used because a target answers them without a free slot, while a request may wait for a long
-# time at a live target.
-MIN_CONFIRMED_FAILURES = 2
 # How long a target counts as unresponsive after it was last found to leave a request unanswered.
 UNRESPONSIVE_TTL_S = 1.5
-# Confirmed failures add up only if they follow each other within this time.
-FAILURE_WINDOW_S = 3.0
 # Loads of a VM or zone that is no longer heard are outdated. They expire after the longer of this
 # time and TTL_PERIODS reporting periods.
 MIN_LOAD_TTL_S = 1.5
@@ -43,11 +39,6 @@
 # node's control traffic budget, so large zones report less often.
 LOAD_BYTES_PER_S = 500
 LOAD_ENTRY_BYTES = 9
-# Loads of peers are evidence about a request only if received at least this long after it was sent.
-PEER_DATA_LAG_S = 0.2
-# Silence towards all VMs of the zone after which a target counts as unresponsive. The zone's loads
-# are up to 0.3 s old, and a busy target answers some VM several times in the remaining time.
-ZONE_SILENCE_S = 0.6
 SILENT_UNIT_S = 0.1
 
 
@@ -109,40 +100,29 @@
 
     Attributes
     ----------
-    answered_s : float
-        When a caller of this VM last acknowledged data from the target.
-    peer_answered_s : float
-        The same for the other VMs, according to their last loads.
+    evidence : TargetEvidence
+        Answers and confirmed failures, which decide on its open flows.
     ejection_s : float
         Length of the current ejection; doubles with each failure until the next answer.
     ejected_until_s : float
         End of the current ejection.
-    confirmed_failures : int
-        Openings since the last answer that this target left unanswered and another target
-        answered, including those reported by peers.
-    failed_s : float
-        Time of the last confirmed failure.
     suspected_s : float
         When a request was last retransmitted without a recent answer of the target to any VM.
     unresponsive_s : float
         When the target was last found to leave a request of an open flow unanswered.
     """
 
-    answered_s: float = float("-inf")
-    peer_answered_s: float = float("-inf")
+    evidence: TargetEvidence = field(default_factory=TargetEvidence)
     ejection_s: float = 0.0
     ejected_until_s: float = 0.0
-    confirmed_failures: int = 0
-    failed_s: float = float("-inf")
     suspected_s: float = float("-inf")
     unresponsive_s: float = float("-inf")
 
     def observe_answer(self, now_s: float) -> None:
         """Record an answer to a caller of this VM, which clears all failures."""
-        self.answered_s = now_s
+        self.evidence.observe_answer(now_s)
         self.ejection_s = 0.0
         self.ejected_until_s = 0.0
-        self.confirmed_failures = 0
         self.suspected_s = float("-inf")
         self.unresponsive_s = float("-inf")
 
@@ -152,7 +132,7 @@
         A single failure ejects the target. Choosing another one is cheap, while a crashed target
         looks idle and would attract all new flows.
         """
-        if self.answered_s >= since_s or now_s < self.ejected_until_s:
+        if self.evidence.answered_s >= since_s or now_s < self.ejected_until_s:
             return False
         self.ejection_s = min(MAX_EJECTION_S, max(FIRST_EJECTION_S, 2 * self.ejection_s))
         self.ejected_until_s = now_s + self.ejection_s
@@ -163,38 +143,23 @@
 
         Ejections are kept, because they concern the path from this VM.
         """
-        self.peer_answered_s = max(self.peer_answered_s, answered_s)
-        if answered_s > self.failed_s:
-            self.confirmed_failures = 0
+        self.evidence.observe_peer_answer(answered_s)
         if answered_s > self.unresponsive_s:
             self.unresponsive_s = float("-inf")
         if answered_s > self.suspected_s:
             self.suspected_s = float("-inf")
 
-    @property
-    def last_answer_s(self) -> float:
-        """When the target last answered any VM, as far as this VM knows."""
-        return max(self.answered_s, self.peer_answered_s)
-
-    def count_confirmed_failures(self, now_s: float) -> int:
-        """Return the confirmed failures, 0 if the last one is too old."""
-        return self.confirmed_failures if now_s - self.failed_s <= FAILURE_WINDOW_S else 0
-
-    def observe_confirmed_failure(self, *, since_s: float, now_s: float) -> bool:
+    def observe_confirmed_failure(self, *, witness: Witness, since_s: float, now_s: float) -> bool:
         """Record that another target answered an opening that this one left unanswered.
 
         The other answer shows that the path of this VM works. Return whether the failure counts;
         it does not if the target has answered any VM since `since_s`.
         """
-        if self.last_answer_s >= since_s:
+        if self.evidence.last_answer_s >= since_s:
             return False
-        self._add_confirmed_failures(1, now_s)
+        self.evidence.observe_failures([witness], now_s)
         return True
 
-    def _add_confirmed_failures(self, count: int, now_s: float) -> None:
-        self.confirmed_failures = self.count_confirmed_failures(now_s) + count
-        self.failed_s = now_s
-
     def observe_suspicion(self, now_s: float) -> None:
         """Suspect the target after a caller retransmitted a request.
 
@@ -202,48 +167,31 @@
         the two, since its answer does not wait for a slot; if it fails, the flow is soon placed on
         another target.
         """
-        if (
-            now_s - self.last_answer_s > REPORT_LAG_S
-            and self.count_confirmed_failures(now_s) < MIN_CONFIRMED_FAILURES
-        ):
+        is_silent = now_s - self.evidence.last_answer_s > REPORT_LAG_S
+        if is_silent and not self.evidence.do_witnesses_agree(now_s):
             self.suspected_s = now_s
 
     def is_suspected(self, now_s: float) -> bool:
         """Return whether the next new flow has to probe the target."""
-        return (
-            self.count_confirmed_failures(now_s) < MIN_CONFIRMED_FAILURES
-            and now_s - self.suspected_s <= SUSPICION_TTL_S
-        )
+        is_recent = now_s - self.suspected_s <= SUSPICION_TTL_S
+        return is_recent and not self.evidence.do_witnesses_agree(now_s)
 
     def observe_unanswered_request(
         self, *, since_s: float, peers_heard_s: float, now_s: float
     ) -> bool:
-        """Record a request sent at `since_s` without an answer.
+        """Record a request sent at `since_s` without an answer; see ``TargetEvidence``.
 
         Return whether the target is unresponsive.
-
-        Parameters
-        ----------
-        since_s, now_s : float
-        peers_heard_s : float
-            When this VM last received the loads of its peers. A VM with a saturated link loses
-            packets to live targets, and only the answers seen by its peers show that they are live.
         """
-        if (
-            self.last_answer_s >= since_s
-            or self.count_confirmed_failures(now_s) < MIN_CONFIRMED_FAILURES
-        ):
-            return False
-        if (
-            peers_heard_s < since_s + PEER_DATA_LAG_S
-            or peers_heard_s - self.peer_answered_s < ZONE_SILENCE_S
-        ):
-            return False
-        self.unresponsive_s = now_s
-        return True
+        is_lost = self.evidence.is_request_lost(
+            since_s=since_s, peers_heard_s=peers_heard_s, now_s=now_s
+        )
+        if is_lost:
+            self.unresponsive_s = now_s
+        return is_lost
 
     def observe_peer_report(
-        self, *, ejection_s: float, is_unresponsive: bool, now_s: float
+        self, *, ejection_s: float, witnesses: Iterable[Witness], now_s: float
     ) -> bool:
         """Record a peer's report of an unresponsive target; return whether it counts.
 
@@ -251,9 +199,9 @@
         answered recently. It does not reset open flows by itself, since the peer's path may be at
         fault; their own requests must be unanswered as well.
         """
-        if now_s - self.last_answer_s <= REPORT_LAG_S:
+        if now_s - self.evidence.last_answer_s <= REPORT_LAG_S:
             return False
-        self._add_confirmed_failures(MIN_CONFIRMED_FAILURES if is_unresponsive else 1, now_s)
+        self.evidence.observe_failures(witnesses, now_s)
         self.ejection_s = max(self.ejection_s, min(MAX_EJECTION_S, ejection_s))
         if ejection_s:
             self.ejected_until_s = max(self.ejected_until_s, now_s + self.ejection_s)
@@ -265,7 +213,7 @@
         Answers to peers are excluded: if VMs relayed them to each other, an unresponsive target
         would appear live forever.
         """
-        return round(min(MAX_SILENT_DS, (now_s - self.answered_s) / SILENT_UNIT_S))
+        return round(min(MAX_SILENT_DS, (now_s - self.evidence.answered_s) / SILENT_UNIT_S))
 
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the target gets no new flows."""
--- a/mulberryswitch/forwarding/tests/builders.py
+++ b/mulberryswitch/forwarding/tests/builders.py
@@ -78,5 +78,10 @@
         self.assertIsInstance(action, Forward)
         return action.target.key
 
+    def check_failures(self, target: str, count: int) -> None:
+        """Check how many witnesses saw openings fail at a target."""
+        health = self.forwarder.loads.get_or_create(token_of(target)).health
+        self.assertEqual(len(health.evidence.list_witnesses(0.1)), count)
+
     def acknowledge(self, now_s: float, target: str, **fields) -> list:
         return self.send(now_s, token=token_of(target), sequence=1, acknowledged=1, **fields)
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -66,6 +66,7 @@
         self.forwarder = Forwarder(
             directory=self.directory,
             zone=settings.zone,
+            vm=settings.vm,
             rng=rng,
             count=self.metrics.count,
             report_unresponsive=lambda token, health: self.peers.report_unresponsive(token, health),
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -12,6 +12,7 @@
     FEED_CODEC,
     Ack,
     DecodeError,
+    FailureWitness,
     FeedAnnounce,
     LoadShare,
     Ping,
@@ -21,7 +22,7 @@
     ZoneLoads,
 )
 from mulberryswitch.directory import START, Directory, Feed, Position, Source
-from mulberryswitch.forwarding import TargetHealth, TargetLoads
+from mulberryswitch.forwarding import TargetHealth, TargetLoads, Witness
 from mulberryswitch.transport import DatagramSocket, is_ip_port, parse_host_port
 from mulberryswitch.vms import Member, Membership, pick_readers
 
@@ -225,13 +226,21 @@
 
     def report_unresponsive(self, token: int, health: TargetHealth) -> None:
         """Tell the local zone and the readers of other zones that a target does not answer."""
+        now_s = self.clock()
+        is_dark = health.is_unresponsive(now_s)
+        witnesses = health.evidence.list_witnesses(now_s)
         report = TargetSilent(
             fleet=self.fleet,
             vm=self.settings.vm,
             zone=self.settings.zone,
             token=token,
             ejection_ms=int(health.ejection_s * 1000),
-            is_dark=health.is_unresponsive(self.clock()),
+            is_dark=is_dark,
+            witnesses=tuple(
+                FailureWitness(vm=witness.vm, caller=witness.caller)
+                for witness in witnesses
+                if is_dark or witness.vm == self.settings.vm
+            ),
         )
         for member in self.feed.list_recipients(self.membership.live()):
             self._send(member.address, report)
@@ -252,7 +261,7 @@
         is_same_zone = report.zone == self.settings.zone
         counts = self.loads.get_or_create(report.token).health.observe_peer_report(
             ejection_s=report.ejection_ms / 1000 if is_same_zone else 0.0,
-            is_unresponsive=report.is_dark,
+            witnesses=[Witness(vm=w.vm, caller=w.caller) for w in report.witnesses],
             now_s=now_s,
         )
         log.info(
