A withheld target that answers stays in use, whatever peers withhold

The target was dropped without a remembered departure, so its open flow had an unknown token and was reset.

Change: keys of targets that answered are remembered for the epoch and not withheld again; a target that a peer withholds is remembered as lapsed, so its open flows go on by the check.

--- a/mulberryswitch/contracts/_feed.py
+++ b/mulberryswitch/contracts/_feed.py
@@ -101,8 +101,8 @@
     """The sender ejected a target for `ejection_ms`; `is_dark` if its open flows are silent too.
 
     `ejection_ms` is 0 if the sender relays a report from another zone. `witnesses` names the VMs
-    that saw openings fail at the target, each with the address of the caller; those of other VMs are
-    sent along only if the sender found the target unresponsive itself.
+    that saw openings fail at the target, each with the address of the caller; those of other VMs
+    are sent along only if the sender found the target unresponsive itself.
     """
 
     fleet: str
--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -207,7 +207,7 @@
         key = departure.target.key if departure else None
         if key not in self._transition.withheld_until_s:
             return False
-        self._transition.settle(key)
+        self._transition.observe_live(key)
         content = self.decode(self._records[key])
         if isinstance(content, Target) and content.identity == departure.target.identity:
             self._table.list_target(content, now_s)
@@ -409,9 +409,15 @@
         )
         for key in heritage.withheld & self.targets.keys():
             if self._records[key].epoch == self.epoch and self._records[key].position <= position:
-                del self.targets[key]
                 self._transition.withhold(key)
-                changed.append(key)
+                if key in self._transition.withheld_until_s:
+                    # The grace period has passed for the peer.
+                    departed_s = now_s - 2 * LAPSE_GRACE_S
+                    created_revision = self._records[key].created_revision
+                    self._table.remove_target(
+                        key, DepartureCause.LAPSED, departed_s, created_revision
+                    )
+                    changed.append(key)
         return bool(changed)
 
     def _inherit_record(self, record: Record, position: Position, now_s: float) -> bool:
--- a/mulberryswitch/directory/_restore.py
+++ b/mulberryswitch/directory/_restore.py
@@ -122,6 +122,8 @@
         self.needs_heritage = False
         self.kept_until_s: dict[str, float] = {}
         self.withheld_until_s: dict[str, float] = {}
+        # Keys of withheld targets that have answered a caller.
+        self._live: set[str] = set()
         # Time since when the writers can reach the store without an interruption.
         self._writable_s = 0.0
         self._confirmed_s = 0.0
@@ -140,6 +142,7 @@
         self.needs_heritage = heritage is None or heritage.former == START
         self.kept_until_s.clear()
         self.withheld_until_s.clear()
+        self._live.clear()
         self._writable_s = now_s - (heritage.age_s if heritage else 0.0)
         self._confirmed_s = now_s
 
@@ -149,7 +152,13 @@
 
     def withhold(self, key: str) -> None:
         """Do not use a record of the copy until only a live process can have renewed it."""
-        self.withheld_until_s[key] = self._writable_s + WITHHOLD_S
+        if key not in self._live:
+            self.withheld_until_s[key] = self._writable_s + WITHHOLD_S
+
+    def observe_live(self, key: str) -> None:
+        """End the wait for `key`, whose target has answered; peers that wait are not followed."""
+        self.settle(key)
+        self._live.add(key)
 
     def settle(self, key: str) -> None:
         """End the wait for `key`, whose record was written or deleted in this epoch."""
--- a/mulberryswitch/directory/tests/test_restore.py
+++ b/mulberryswitch/directory/tests/test_restore.py
@@ -313,6 +313,21 @@
         self.assertEqual(self.get_serving(RESTORED_S + 2.6), set())
         self.assertEqual(self.get_serving(RESTORED_S + 15.1), {"t1"})
 
+    def test_peer_that_withholds_a_target_that_answers_is_not_followed(self):
+        """The flows of the target would lose it a second time."""
+        newcomer = self.build_newcomer()
+        self.adopt(newcomer, now_s=RESTORED_S + 1.0)
+        self.assertTrue(newcomer.apply_sign_of_life(get_token("t1"), RESTORED_S + 1.5))
+        self.adopt(newcomer, now_s=RESTORED_S + 2.0)
+        self.assertEqual(self.get_serving(RESTORED_S + 2.0), {"t1", "t2"})
+
+    def test_target_that_a_peer_withholds_keeps_its_open_flows(self):
+        """The newcomer has listed it, so packets of its flows must still find it."""
+        newcomer = self.build_newcomer()
+        self.adopt(newcomer, now_s=RESTORED_S + 1.0)
+        departure = newcomer.find_departure(get_token("t1"))
+        self.assertEqual(departure.cause.value, "lapsed")
+
     def test_newer_change_is_not_undone_by_a_peer_that_is_behind(self):
         newcomer = self.build_newcomer()
         self.apply(build_target_record("t1", 15, epoch=2, slots=9), now_s=RESTORED_S + 1.0)
