A large configuration goes down the tree instead of to all links at once

Ruled out: the size of what is sent (1,400 routes are 22 KB packed, 7,200 about 110 KB); pacing (parents that had the value were idle).

Change: a reader with any position shows that the store serves it; a parent that is behind itself is asked again for 2 s before the readers are.

--- a/mulberryswitch/directory/_feed.py
+++ b/mulberryswitch/directory/_feed.py
@@ -32,6 +32,9 @@
 # Bounds the VMs of a zone that query the store during an outage that affects every reader.
 MAX_STALE_RANK = 6
 PULL_RETRY_S = 0.5
+# A parent of the distribution tree that is behind itself is asked again for this long, before the
+# VMs below it ask the readers, whose links would be full.
+PARENT_WAIT_S = 2.0
 # A VM whose pulls make no progress for this long reads the store itself.
 PULLS_FAILING_S = 3.0
 PULLS_FAILING_STEP_S = 0.25
@@ -76,6 +79,7 @@
         self._started_s: float | None = None
         self._failed_pulls_s: dict[str, float] = {}
         self._failing_since_s: float | None = None
+        self._waiting_since_s: dict[str, float] = {}
         self._members: Sequence[Member] = ()
         self._ranked: list[Member] = []
 
@@ -89,13 +93,28 @@
         if self._failing_since_s is None:
             self._failing_since_s = now_s
 
+    def observe_pull_without_news(self, *, vm: str, now_s: float) -> bool:
+        """Record that a peer had nothing newer; return whether that counts as a failure.
+
+        A parent of the distribution tree may be waiting for the same change.
+        """
+        since_s = self._waiting_since_s.setdefault(vm, now_s)
+        announced = self._sources.get(vm)
+        is_announcer = announced is not None and now_s - announced.heard_s <= 2 * SILENCE_S
+        if not is_announcer and now_s - since_s < PARENT_WAIT_S:
+            return False
+        self.observe_pull_failure(vm=vm, now_s=now_s)
+        return True
+
     def observe_pull_progress(self) -> None:
         """Record that a pull has brought something that this VM lacked."""
         self._failing_since_s = None
+        self._waiting_since_s.clear()
 
     def observe_up_to_date(self) -> None:
         """Record that no peer is ahead of this VM."""
         self._failing_since_s = None
+        self._waiting_since_s.clear()
 
     def get_failing_s(self, now_s: float) -> float:
         """Return for how long pulls have failed without progress, in seconds."""
@@ -159,7 +178,9 @@
         heard_s = max((s.heard_s for s in self._list_zone_readers()), default=self._started_s)
         if now_s - heard_s > SILENCE_S + SILENCE_STEP_S * min(later, MAX_SILENCE_STEPS):
             return True
-        stale_s = now_s - max(self.get_confirmed_s(position), self._started_s)
+        # The store serves a reader that has a newer position, too.
+        confirmed_s = max((s.confirmed_s for s in self._sources.values()), default=self._started_s)
+        stale_s = now_s - max(confirmed_s, self._started_s)
         return rank < MAX_STALE_RANK and stale_s > STALE_S + STALE_STEP_S * later
 
     def _is_joining(self, now_s: float) -> bool:
--- a/mulberryswitch/directory/tests/test_feed.py
+++ b/mulberryswitch/directory/tests/test_feed.py
@@ -122,6 +122,23 @@
         self.assertTrue(self.is_reader(2, now_s=9.1, sources=sources))
         self.assertFalse(self.is_reader(4, now_s=9.1, sources=sources))
 
+    def test_reader_with_a_newer_position_reaches_the_store(self):
+        """While a large configuration spreads, the VMs that wait for it must not all read it."""
+        newer = build_source(self.ranked[0], heard_s=9.0, position=Position(revision=99))
+        self.assertFalse(self.is_reader(2, now_s=9.1, sources=[newer]))
+
+    def test_vm_whose_pulls_make_no_progress_reads(self):
+        feed = Feed(vm=self.ranked[7], zone="z0")
+        members, position = self.members, Position(revision=7)
+        for now_s in (1.0, 3.0, 5.0):
+            feed.observe_announce(build_source(self.ranked[0], heard_s=now_s))
+            feed.observe_pull_failure(vm=self.ranked[0], now_s=now_s)
+        self.assertFalse(feed.is_reader(members=members, position=position, now_s=5.0))
+        feed.observe_announce(build_source(self.ranked[0], heard_s=6.0))
+        self.assertTrue(feed.is_reader(members=members, position=position, now_s=6.0))
+        feed.observe_pull_progress()
+        self.assertFalse(feed.is_reader(members=members, position=position, now_s=6.0))
+
     def test_a_store_outage_bounds_the_readers_of_a_large_zone(self):
         sources = [build_source(self.ranked[0], heard_s=60.0, age_s=50.0)]
         reading = [self.is_reader(rank, now_s=60.1, sources=sources) for rank in range(10)]
@@ -187,6 +204,13 @@
         source = feed.pick_source(members=members, is_ahead=is_after(6), now_s=2.1)
         self.assertEqual(source.vm, "near")
 
+    def test_a_parent_that_is_behind_itself_is_asked_again(self):
+        """A whole zone that turned to its readers would fill their links."""
+        self.assertFalse(self.feed.observe_pull_without_news(vm="parent", now_s=2.0))
+        self.assertFalse(self.feed.observe_pull_without_news(vm="parent", now_s=3.5))
+        self.assertTrue(self.feed.observe_pull_without_news(vm="parent", now_s=4.1))
+        self.assertTrue(self.feed.observe_pull_without_news(vm="near", now_s=2.0))
+
     def test_recipients_are_the_zone_and_the_readers_of_other_zones(self):
         members = build_members(20)
         names = {member.vm for member in self.feed.list_recipients(members)}
--- a/mulberryswitch/front/_pulls.py
+++ b/mulberryswitch/front/_pulls.py
@@ -132,18 +132,18 @@
                 part = await self._fetch_part(conn, source)
                 records = await self._fetch_values(conn, part)
         except (OSError, DecodeError, ChunkError) as exc:
-            self._observe_failure(source, str(exc) or type(exc).__name__)
+            self.feed.observe_pull_failure(vm=source.vm, now_s=self.clock())
+            self._report_failure(source, str(exc) or type(exc).__name__)
             self._fetched.trim()
             return
         self.failure = ""
         self._fetched.clear()
         self._apply_part(part, records, source)
 
-    def _observe_failure(self, source: Source, cause: str) -> None:
+    def _report_failure(self, source: Source, cause: str) -> None:
         self.failure = cause
         self.count("pulls_failed", 1)
         now_s = self.clock()
-        self.feed.observe_pull_failure(vm=source.vm, now_s=now_s)
         log.warning(
             "directory pull failed",
             extra={
@@ -207,10 +207,10 @@
         previous = self.directory.position
         if self._apply_records(part, records):
             self.report_change()
-        if self.directory.position <= previous and self._is_ahead(source):
-            self._observe_failure(source, "peer has nothing newer")
-        else:
+        if self.directory.position > previous or not self._is_ahead(source):
             self.feed.observe_pull_progress()
+        elif self.feed.observe_pull_without_news(vm=source.vm, now_s=self.clock()):
+            self._report_failure(source, "peer has nothing newer")
 
     def _apply_records(self, part: DirectoryPart, records: list[Record]) -> bool:
         """Apply the records of a part without a gap; return whether any was new."""
