Evacuated zones get no new flows

Openings that no target may take are reset at once. Logs, status and metrics show zones, and the flows that are left there.

--- a/mulberryswitch/cli/_front.py
+++ b/mulberryswitch/cli/_front.py
@@ -63,11 +63,13 @@
     if "error" in answer:
         return f"{address}: no answer: {answer['error']}"
     state = "stopping" if answer["stopping"] else "ready" if answer["ready"] else "not ready"
+    evacuated = ", ".join(item["zone"] for item in answer["evacuated_zones"])
+    suffix = f"; evacuated: {evacuated}, {answer['flows_in_evacuated_zones']} flows left there"
     return (
         f"{answer['vm']} ({answer['zone']}): {state}, version {answer['version']} at revision "
         f"{answer['revision']}, confirmed {answer['confirmed_age_s']:.1f} s ago; "
         f"{answer['routes']} routes, {answer['targets']} targets, {answer['flows']} flows, "
-        f"{answer['members']} VMs"
+        f"{answer['members']} VMs{suffix if evacuated else ''}"
     )
 
 
--- a/mulberryswitch/directory/__init__.py
+++ b/mulberryswitch/directory/__init__.py
@@ -3,14 +3,17 @@
 from ._chunks import ChunkError, ChunkStore, Outline, build_outline, index_chunks
 from ._departures import Departure, DepartureCause
 from ._directory import Directory
+from ._evacuations import EvacuatedZone, Evacuations
 from ._feed import Feed, Source
 from ._read_planner import Pause, ReadAll, ReadPlanner, Watch
 from ._records import (
     START,
     DecodeRecord,
+    Evacuation,
     Manifest,
     Position,
     Record,
+    RecordContent,
     Route,
     RouteKey,
     Target,
@@ -28,6 +31,9 @@
     "Departure",
     "DepartureCause",
     "Directory",
+    "EvacuatedZone",
+    "Evacuation",
+    "Evacuations",
     "Feed",
     "Heritage",
     "Manifest",
@@ -37,6 +43,7 @@
     "ReadAll",
     "ReadPlanner",
     "Record",
+    "RecordContent",
     "Route",
     "RouteKey",
     "Source",
--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -6,7 +6,19 @@
 
 from ._change_log import ChangeLog
 from ._departures import LAPSE_GRACE_S, Departure, DepartureCause
-from ._records import START, DecodeRecord, Manifest, Position, Record, Route, RouteKey, Target
+from ._evacuations import Evacuations
+from ._records import (
+    START,
+    DecodeRecord,
+    Evacuation,
+    Manifest,
+    Position,
+    Record,
+    RecordContent,
+    Route,
+    RouteKey,
+    Target,
+)
 from ._restore import CopyVerdict, EpochTransition, Heritage, judge_copied_target
 from ._target_table import TargetTable
 from ._tokens import build_token
@@ -67,6 +79,7 @@
             get_created_revision=lambda key: self._records[key].created_revision,
             keep_departed_s=keep_departed_s,
         )
+        self.evacuations = Evacuations()
         self.targets = self._table.targets
         self.by_token = self._table.by_token
         self.cold_until_s = self._table.cold_until_s
@@ -118,6 +131,11 @@
         """Return the targets that accept new flows of `service`; see ``TargetTable``."""
         return self._table.list_serving(service, now_s)
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether `service` has targets, all of them in evacuated zones."""
+        zones = {t.zone for t in self.targets.values() if t.service == service}
+        return bool(zones) and zones <= self.evacuations.zones
+
     # Changes
 
     def apply_records(self, *, records: Iterable[Record], position: Position, now_s: float) -> bool:
@@ -262,6 +280,8 @@
             return self._apply_config(record, content, now_s)
         if record.value is None:
             return known is not None and self._remove_record(record.key, now_s)
+        if isinstance(content, Evacuation):
+            return self._apply_evacuation(record, content, now_s)
         target = content if isinstance(content, Target) else None
         if record.epoch == self.epoch and record.revision <= self._transition.copy_revision:
             return self._apply_copied(record, target, now_s)
@@ -276,9 +296,22 @@
             self._table.remove_target(record.key, DepartureCause.UNREADABLE, now_s)
         return True
 
+    def _apply_evacuation(self, record: Record, content: Evacuation, now_s: float) -> bool:
+        self._records[record.key] = record
+        self._transition.settle(record.key)
+        self.evacuations.apply_request(
+            key=record.key,
+            zone=content.zone,
+            position=record.position,
+            known_zones=self.zones,
+            now_s=now_s,
+        )
+        return True
+
     def _remove_record(self, key: str, now_s: float) -> bool:
         created_revision = self._records.pop(key).created_revision
         self._transition.settle(key)
+        self.evacuations.remove_request(key, now_s)
         self._table.remove_target(key, DepartureCause.LAPSED, now_s, created_revision)
         return True
 
@@ -292,9 +325,7 @@
 
     # Configuration
 
-    def _apply_config(
-        self, record: Record, content: Manifest | Target | None, now_s: float
-    ) -> bool:
+    def _apply_config(self, record: Record, content: RecordContent | None, now_s: float) -> bool:
         """Put a configuration in force, unless a newer version is.
 
         A restored store may hold an older version at a later position. A configuration that is
@@ -389,7 +420,8 @@
         missing = self._records.keys() - {record.key for record in records} - {self._config_key}
         is_decided = heritage is not None and heritage.former >= self._transition.former
         if is_new_epoch and not is_decided:
-            self._transition.keep(missing & self.targets.keys())
+            kept = self.targets.keys() | self.evacuations.list_keys()
+            self._transition.keep(missing & kept)
         removed = missing - self._transition.kept_until_s.keys()
         for key in removed:
             self._remove_record(key, now_s)
@@ -403,7 +435,8 @@
         changed = [
             record.key for record in inherited if self._inherit_record(record, position, now_s)
         ]
-        known = {record.key for record in inherited} & self.targets.keys()
+        kept = self.targets.keys() | self.evacuations.list_keys()
+        known = {record.key for record in inherited} & kept
         self._transition.keep(
             key for key in heritage.kept & known if self._records[key].epoch < self.epoch
         )
@@ -427,6 +460,8 @@
         if isinstance(content, Manifest):
             is_newer = content.version > self.version
             return is_newer and self._apply_config(record, content, now_s)
+        if isinstance(content, Evacuation):
+            return known is None and self._apply_evacuation(record, content, now_s)
         if not isinstance(content, Target):
             return False
         departure = self.find_departure(build_token(content.identity))
@@ -445,6 +480,7 @@
         )
         if has_changes:
             self.changed_s = now_s
+            self._table.evacuated_zones = self.evacuations.zones
             self._table.rebuild_indexes(now_s)
         return has_changes
 
--- a/mulberryswitch/directory/_records.py
+++ b/mulberryswitch/directory/_records.py
@@ -8,9 +8,11 @@
 __all__ = [
     "START",
     "DecodeRecord",
+    "Evacuation",
     "Manifest",
     "Position",
     "Record",
+    "RecordContent",
     "Route",
     "RouteKey",
     "Target",
@@ -120,5 +122,15 @@
     boot_ms: int
 
 
-DecodeRecord = Callable[[Record], Target | Manifest | None]
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Evacuation:
+    """An operator's request that the targets of `zone` get no new flows while the record exists."""
+
+    zone: str
+
+
+RecordContent = Target | Manifest | Evacuation
+"""What a record describes."""
+
+DecodeRecord = Callable[[Record], RecordContent | None]
 """Decoder of a record; returns None for a record of an unrelated writer, which is ignored."""
--- a/mulberryswitch/directory/_target_table.py
+++ b/mulberryswitch/directory/_target_table.py
@@ -34,6 +34,8 @@
         Index of `targets`.
     cold_until_s : dict of str to float
         End of the warm-up by key.
+    evacuated_zones : frozenset of str
+        Zones whose targets accept no new flows.
     """
 
     def __init__(self, *, get_created_revision: Callable[[str], int], keep_departed_s: float):
@@ -42,6 +44,7 @@
         self.targets: dict[str, Target] = {}
         self.by_token: dict[int, Target] = {}
         self.cold_until_s: dict[str, float] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
         self._departures: dict[int, Departure] = {}
         self._by_service: dict[str, list[Target]] = {}
 
@@ -63,7 +66,9 @@
         lapsed = [
             departure.target
             for departure in self._departures.values()
-            if departure.target.service == service and departure.is_in_grace_period(now_s)
+            if departure.target.service == service
+            and departure.is_in_grace_period(now_s)
+            and departure.target.zone not in self.evacuated_zones
         ]
         return [*live, *lapsed] if len(lapsed) >= max(1, len(live)) else live
 
@@ -118,7 +123,11 @@
             if now_s - departure.departed_s <= self.keep_departed_s and token not in by_token
         }
         available = sorted(
-            (target for target in by_token.values() if not target.is_draining),
+            (
+                target
+                for target in by_token.values()
+                if not target.is_draining and target.zone not in self.evacuated_zones
+            ),
             key=lambda target: (target.service, target.key),
         )
         self._by_service = {
--- a/mulberryswitch/directory/tests/builders.py
+++ b/mulberryswitch/directory/tests/builders.py
@@ -5,9 +5,11 @@
 
 from mulberryswitch.directory import (
     Directory,
+    Evacuation,
     Manifest,
     Position,
     Record,
+    RecordContent,
     Route,
     Target,
     TrafficKind,
@@ -15,6 +17,7 @@
 
 ROUTE_HOST = 0xC6120001
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 
 
 def build_record(
@@ -41,6 +44,10 @@
     return build_record(CONFIG_KEY, revision, epoch=epoch, version=version, routes=routes)
 
 
+def build_evacuation_record(zone: str, revision: int, *, epoch: int = 0) -> Record:
+    return build_record(f"{EVACUATION_PREFIX}{zone}", revision, epoch=epoch, requested=True)
+
+
 def build_route(port: int, service: str, **changes: Any) -> Route:
     fields = {
         "name": f"r-{port}",
@@ -66,8 +73,10 @@
     return Target(**(fields | changes))
 
 
-def decode(record: Record) -> Target | Manifest | None:
+def decode(record: Record) -> RecordContent | None:
     """Decode a record as a platform's decoder does."""
+    if record.key.startswith(EVACUATION_PREFIX):
+        return Evacuation(zone=record.key.removeprefix(EVACUATION_PREFIX))
     content = json.loads(record.value)
     if record.key == CONFIG_KEY and "version" in content:
         kinds = content.get("kinds", {})
--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -3,7 +3,7 @@
 Forwarding does not depend on the table: a VM without an entry for a flow forwards it by its token.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from ._loads import TargetLoads
@@ -106,6 +106,10 @@
         """Return the flow of `key`; None if the table has no entry for it."""
         return self.flows.get(key)
 
+    def list_open(self) -> Iterator[Flow]:
+        """Yield the flows that are not closed."""
+        return (flow for flow in self.flows.values() if not flow.is_closed)
+
     def apply_opening(
         self,
         *,
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -237,7 +237,7 @@
         candidates = [self._rate(target, now_s) for target in sampled]
         target = pick_target(candidates=candidates, zone=self.zone, tried=avoided, rng=self.rng)
         if target is None:
-            return self._reset(packet, "no target")
+            return self._refuse(packet, service)
         token = build_token(target.identity)
         self.flows.apply_opening(
             packet=packet,
@@ -251,6 +251,13 @@
         self._log_placement(packet, target, candidates, avoided, now_s)
         return [Forward(packet=packet, target=target, token=token)]
 
+    def _refuse(self, packet: Packet, service: str) -> list[Action]:
+        """Reset an opening at once that no target may get; it has not run anywhere."""
+        if self.directory.is_evacuated(service):
+            self.count("openings_refused_evacuated", 1)
+            return self._reset(packet, "all targets evacuated")
+        return self._reset(packet, "no target")
+
     def _log_placement(
         self,
         packet: Packet,
@@ -388,6 +395,14 @@
         )
         return [Reset(packet=packet)]
 
+    def count_flows_in_evacuated_zones(self) -> int:
+        """Return the number of open flows through this VM to targets of evacuated zones."""
+        zones = self.directory.evacuations.zones
+        if not zones:
+            return 0
+        targets = (self.directory.find_target(f.token) for f in self.flows.list_open())
+        return sum(target is not None and target.zone in zones for target in targets)
+
     # Time
 
     def observe_change(self, now_s: float) -> list[Action]:
--- a/mulberryswitch/forwarding/tests/test_forwarder.py
+++ b/mulberryswitch/forwarding/tests/test_forwarder.py
@@ -8,6 +8,7 @@
 from mulberryswitch.directory import Directory, Position
 from mulberryswitch.directory.tests.builders import (
     build_config_record,
+    build_evacuation_record,
     build_record,
     build_target_record,
     decode,
@@ -36,6 +37,24 @@
         """A request that cannot be served must not wait for its deadline."""
         self.assertIsInstance(self.send(0.0, port=81, opens=True)[0], Reset)
 
+    def test_an_opening_is_reset_at_once_if_all_targets_are_evacuated(self):
+        self.directory.apply_records(
+            records=[build_evacuation_record("za", 11)], position=Position(revision=11), now_s=0.0
+        )
+        self.assertIsInstance(self.send(0.1)[0], Reset)
+        self.assertEqual(self.forwarder.counts["openings_refused_evacuated"], 1)
+
+    def test_a_hedge_leaves_an_evacuated_zone(self):
+        """The first target was chosen before the request; the second one is not."""
+        self.open(0.0)
+        records = [
+            build_evacuation_record("za", 11),
+            build_target_record("t9", 12, zone="zb"),
+        ]
+        self.directory.apply_records(records=records, position=Position(revision=12), now_s=0.01)
+        (action,) = self.forwarder.decide_tick(now_s=0.05)
+        self.assertEqual(action.target.key, "t9")
+
     def test_an_opening_without_an_answer_goes_to_another_target(self):
         first = self.open(0.0)
         self.assertEqual(self.forwarder.decide_tick(now_s=0.01), [])
--- a/mulberryswitch/front/_pages.py
+++ b/mulberryswitch/front/_pages.py
@@ -59,6 +59,10 @@
             "ready": front.is_ready,
             "stopping": front.is_stopping,
             "version": front.directory.version,
+            "evacuated_zones": [
+                {"zone": item.zone, "for_s": round(front.clock() - item.since_s, 1)}
+                for item in front.directory.evacuations.list_zones()
+            ],
             "pull_failure": front.peers.directory_sync.failure,
             **self._read_gauges(),
         }
@@ -86,6 +90,8 @@
             "targets": len(front.directory.targets),
             "flows": len(front.forwarder.flows.flows),
             "members": len(front.peers.membership.live()),
+            "evacuated_zones_count": len(front.directory.evacuations.zones),
+            "flows_in_evacuated_zones": front.forwarder.count_flows_in_evacuated_zones(),
             "pulls_failing_s": round(front.peers.feed.get_failing_s(front.clock()), 3),
             "confirmed_age_s": round(min(front.peers.get_confirmed_age_s(), MAX_REPORTED_AGE_S), 3),
         }
--- a/mulberryswitch/platform/_records.py
+++ b/mulberryswitch/platform/_records.py
@@ -7,12 +7,22 @@
 
 import msgspec
 
-from mulberryswitch.directory import Manifest, Record, Route, Target, TrafficKind
+from mulberryswitch.directory import (
+    Evacuation,
+    Manifest,
+    Record,
+    RecordContent,
+    Route,
+    Target,
+    TrafficKind,
+)
 
 __all__ = ["MANIFEST_KEY", "TARGET_PREFIX", "decode_record"]
 
 MANIFEST_KEY = "op/config"
 TARGET_PREFIX = "servers/"
+# Followed by a zone. The key alone is the request, so no value can damage it.
+EVACUATION_PREFIX = "op/evacuate/"
 IDENTITY_BYTES = 8
 MAX_PORT = 65_535
 # Beyond what any process serves; larger numbers would overflow the choice of a target.
@@ -91,14 +101,16 @@
 _decode_target = msgspec.json.Decoder(_Target).decode
 
 
-def decode_record(record: Record) -> Target | Manifest | None:
-    """Return the target or configuration of a record.
+def decode_record(record: Record) -> RecordContent | None:
+    """Return the target, configuration or evacuation of a record.
 
     Returns None for other keys, and, with a warning in the log, for an invalid value.
     """
     try:
         if record.key == MANIFEST_KEY:
             return _build_manifest(_decode_manifest(record.value))
+        if record.key.startswith(EVACUATION_PREFIX):
+            return Evacuation(zone=record.key.removeprefix(EVACUATION_PREFIX))
         if record.key.startswith(TARGET_PREFIX):
             return _build_target(record.key, _decode_target(record.value))
     except (ValueError, RecursionError) as exc:  # includes msgspec's errors and deep nesting
--- a/mulberryswitch/platform/tests/test_records.py
+++ b/mulberryswitch/platform/tests/test_records.py
@@ -8,6 +8,7 @@
 
 from mulberryswitch.directory import (
     Directory,
+    Evacuation,
     Manifest,
     Position,
     Record,
@@ -223,6 +224,14 @@
         self.assertIs(decode_route(timeoutMs=9), first)
         self.assertIsNot(decode_route(service="other"), first)
 
+    def test_evacuation_is_named_by_its_key(self):
+        """The value says nothing, so a damaged one must not undo the request."""
+        for value in (b"{}", b"", b"\xff", {"a": 1}):
+            with self.subTest(value):
+                self.assertEqual(
+                    decode("op/evacuate/tw-north-a", value), Evacuation(zone="tw-north-a")
+                )
+
     def test_other_keys_are_ignored(self):
         self.assertIsNone(decode("my/leader", b"x"))
 
