--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -7,13 +7,14 @@
 from standins.store import FakeStore
 
 from ._layout import ZONES, Layout
-from ._records import Context
+from ._records import Context, Evacuation
 from ._targets import Target, TargetState
 
 __all__ = ["Deployment", "Routes"]
 
 ROUTE_HOST = "198.18.0.1"
 CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PORT = 8600
 FEEDS, SCANS = "feeds", "scans"
 FIRST_ADDED_PORT = 2_000
@@ -55,6 +56,7 @@
         self.layout = layout
         self.context = context
         self.records = context.records
+        self.evacuated_zones: dict[str, Evacuation] = {}
         self.clock = context.clock
         self.routes = Routes()
         self.targets: list[Target] = []
@@ -129,6 +131,17 @@
         ports = [*self._added_ports[-PROBED_ROUTES:], *self._removed_ports[-PROBED_ROUTES:]]
         return [(ROUTE_HOST, port) for port in ports]
 
+    def evacuate(self, zone: str) -> None:
+        """Ask that the targets of a zone get no new flows."""
+        self.evacuated_zones[zone] = Evacuation(zone=zone, start_s=self.clock())
+        self.records.evacuations.append(self.evacuated_zones[zone])
+        self.store.put(f"{EVACUATION_PREFIX}{zone}", {})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Take an evacuation back."""
+        self.evacuated_zones.pop(zone).end_s = self.clock()
+        self._delete_key(f"{EVACUATION_PREFIX}{zone}")
+
     # Targets
 
     def list_available_targets(self, service: str) -> list[Target]:
@@ -154,6 +167,7 @@
             context=self.context,
         )
         self.context.target_by_address[host, port] = target.name
+        self.records.target_zones[target.name] = target.zone
         await target.start()
         self.targets.append(target)
         self._put_record(target)
@@ -173,8 +187,14 @@
             self.store.delete(key)
 
     def write_config_again(self) -> None:
-        """Write the present version to a restored store, which may hold an older one."""
+        """Write what the operator wrote to a restored store, which may hold an older state."""
         self._write_config()
+        for zone in ZONES:
+            key = f"{EVACUATION_PREFIX}{zone}"
+            if zone not in self.evacuated_zones:
+                self._delete_key(key)
+            elif not self.store.has_key(key):
+                self.store.put(key, {})
 
     def write_records_again(self) -> None:
         """Write the records of targets to a restored store, which may lack them."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,6 +13,8 @@
 # Changes are often repeated, or coincide with another change. A fault is of the same kind as the
 # previous one with this probability.
 REPEAT_PROBABILITY = 0.25
+# Drawn apart from the others, so that a seed's other faults stay what they were without them.
+MAX_EVACUATIONS = 2
 
 
 class FaultKind(Enum):
@@ -41,6 +43,7 @@
     CONFIG_ADD = "config-add"
     CONFIG_REMOVE = "config-remove"
     CONFIG_STORM = "config-storm"
+    ZONE_EVACUATE = "zone-evacuate"  # a zone's targets get no new flows for a while
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,11 +67,12 @@
 def generate_faults(*, seed: int, length_s: float) -> tuple[Fault, ...]:
     """Return the faults of a run of `length_s` seconds; kinds repeat and faults overlap."""
     rng = Random(seed)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.ZONE_EVACUATE]
     faults: list[Fault] = []
     at_s = MAX_INTERVAL_S * rng.random()
     while at_s < length_s:
         is_repeated = bool(faults) and rng.random() < REPEAT_PROBABILITY
-        kind = faults[-1].kind if is_repeated else rng.choice(list(FaultKind))
+        kind = faults[-1].kind if is_repeated else rng.choice(kinds)
         faults.append(
             Fault(
                 kind=kind,
@@ -78,4 +82,18 @@
             )
         )
         at_s += rng.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S)
-    return tuple(itertools.islice(faults, 100))
+    faults = [*itertools.islice(faults, 100), *_generate_evacuations(seed, length_s)]
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _generate_evacuations(seed: int, length_s: float) -> list[Fault]:
+    rng = Random(f"evacuations of {seed}")
+    return [
+        Fault(
+            kind=FaultKind.ZONE_EVACUATE,
+            at_s=round(length_s * rng.random(), 3),
+            duration_s=round(rng.uniform(0.2, 2 * MAX_DURATION_S), 3),
+            selector=rng.randrange(1_000),
+        )
+        for _ in range(rng.randrange(MAX_EVACUATIONS + 1))
+    ]
--- a/soak/_injector.py
+++ b/soak/_injector.py
@@ -9,7 +9,7 @@
 from ._cuts import CutList, list_cut_links
 from ._deployment import FEEDS, SCANS, Deployment
 from ._faults import Fault, FaultKind
-from ._layout import GRACE_S
+from ._layout import GRACE_S, ZONES
 from ._processes import VmProcesses
 from ._records import Context, Subject
 from ._relay import LinkFault, Relay
@@ -90,6 +90,7 @@
             FaultKind.CONFIG_ADD: self._add_route,
             FaultKind.CONFIG_REMOVE: self._remove_route,
             FaultKind.CONFIG_STORM: self._publish_storm,
+            FaultKind.ZONE_EVACUATE: self._evacuate_zone,
             **dict.fromkeys(self._link_faults, self._disturb_link),
         }
 
@@ -260,6 +261,14 @@
     async def _remove_route(self, fault: Fault) -> None:
         self.deployment.remove_route()
 
+    async def _evacuate_zone(self, fault: Fault) -> None:
+        zone = ZONES[fault.selector % len(ZONES)]
+        if zone in self.deployment.evacuated_zones:
+            return
+        self.deployment.evacuate(zone)
+        await asyncio.sleep(fault.duration_s)
+        self.deployment.end_evacuation(zone)
+
     async def _publish_storm(self, fault: Fault) -> None:
         for number in range(STORM_CHANGES):
             if number % 2:
--- a/soak/_judge.py
+++ b/soak/_judge.py
@@ -13,6 +13,7 @@
 STABLE_AFTER_S = 4.0
 MAX_DRAIN_DELAY_S = 3.0
 MAX_CONFIG_DELAY_S = 3.0
+MAX_EVACUATION_DELAY_S = 3.0
 # A rollback is reported only for flows that were opened this long after the opposite observation.
 ROLLBACK_MARGIN_S = 0.25
 MAX_FLOW_AGE_S = 60.0
@@ -37,6 +38,7 @@
         *_find_duplicate_runs(records),
         *_find_broken_flows(records),
         *_find_openings_after_drain(records),
+        *_find_openings_in_evacuated_zones(records),
         *_find_stale_versions(records),
         *_find_reverted_versions(records),
         *_find_failed_requests(records),
@@ -102,6 +104,19 @@
             )
 
 
+def _find_openings_in_evacuated_zones(records: Records) -> Iterator[Finding]:
+    for opening, item in itertools.product(records.openings, records.evacuations):
+        is_inside = item.start_s + MAX_EVACUATION_DELAY_S < opening.at_s < item.end_s
+        if not is_inside or records.target_zones[opening.target] != item.zone:
+            continue
+        if _is_stable(records, opening.vm, opening.at_s):
+            yield Finding(
+                guarantee="evacuation",
+                detail=f"{opening.vm} opened {opening.flow} at {opening.target}, "
+                f"{opening.at_s - item.start_s:.3f} s after {item.zone} was evacuated",
+            )
+
+
 def _is_served(event: Opening | Reset) -> bool:
     return isinstance(event, Opening)
 
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Context",
+    "Evacuation",
     "Opening",
     "Outcome",
     "Records",
@@ -75,6 +76,15 @@
     vm: str
 
 
+@dataclass(kw_only=True, slots=True)
+class Evacuation:
+    """Time in which the targets of a zone had to get no new flows, in seconds."""
+
+    zone: str
+    start_s: float
+    end_s: float = float("inf")
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestResult:
     """Outcome of a request after its retries."""
@@ -116,6 +126,8 @@
     route_added_s: dict[int, float] = field(default_factory=dict)
     route_removed_s: dict[int, float] = field(default_factory=dict)
     drain_started_s: dict[str, float] = field(default_factory=dict)
+    target_zones: dict[str, str] = field(default_factory=dict)
+    evacuations: list[Evacuation] = field(default_factory=list)
     disturbances: dict[str | Subject, list[tuple[float, float]]] = field(
         default_factory=lambda: defaultdict(list)
     )
--- a/soak/tests/test_judge.py
+++ b/soak/tests/test_judge.py
@@ -3,7 +3,7 @@
 import unittest
 
 from soak._judge import collect_findings
-from soak._records import Outcome, RequestResult, Run, Subject
+from soak._records import Evacuation, Outcome, RequestResult, Run, Subject
 
 from .builders import build_flow, build_opening, build_records, build_reset
 
@@ -56,6 +56,16 @@
         self.records.route_removed_s[443] = 8.0
         self.assert_findings()
 
+    def test_an_opening_in_an_evacuated_zone(self):
+        self.records.target_zones |= {"t1": "za", "t2": "zb"}
+        self.records.evacuations.append(Evacuation(zone="za", start_s=10.0, end_s=20.0))
+        for at_s in (9.0, 12.9, 20.1):
+            self.records.openings.append(build_opening(at_s))
+        self.records.openings.append(build_opening(15.0, target="t2"))
+        self.assert_findings()
+        self.records.openings.append(build_opening(13.1))
+        self.assert_findings("evacuation")
+
     def test_an_opening_at_a_draining_target(self):
         self.records.drain_started_s["t1"] = 10.0
         self.records.openings += [build_opening(12.9), build_opening(13.1)]
