Hedged openings, within a limit that operators set

Wish of the operators: a few slow answers spoil their figures; some extra work is accepted for requests that may be repeated.

Change: an opening of an idempotent route that is slower than the learned quantile of its service goes to a second target. The limit (INI file, off where absent) holds at any moment for any set of VMs without an agreement, since each spends only what its own openings have earned; the failover after 30 ms is charged to it. A target that loses an early hedge is no witness's target; two in a row eject it.

Ruled out: resets of flows whose answer hangs (a reset of a flow whose target lives breaks the users' rule), copies of requests (the other target would reset the flow).

--- a/mulberryswitch/forwarding/__init__.py
+++ b/mulberryswitch/forwarding/__init__.py
@@ -4,6 +4,7 @@
 from ._explanation import FlowExplanation, TargetView, explain_flow, parse_flow
 from ._flows import Flow, FlowTable
 from ._forwarder import Forwarder
+from ._hedging import NO_HEDGES, HedgeLimits, Hedging
 from ._loads import (
     TargetHealth,
     TargetLoad,
@@ -24,6 +25,9 @@
     "FlowTable",
     "Forward",
     "Forwarder",
+    "NO_HEDGES",
+    "HedgeLimits",
+    "Hedging",
     "Packet",
     "Reset",
     "TargetHealth",
--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -57,6 +57,8 @@
         Whether a request was sent whose answer has not been acknowledged.
     repeats : int
         Number of retransmissions of the newest payload by the caller.
+    is_hedged : bool
+        Whether its last target was tried early, which says nothing against the one before.
     is_abandoned : bool
         Whether the caller was presumably refused, since it opened another flow.
     """
@@ -74,6 +76,7 @@
     busy: bool = False
     repeats: int = 0
     is_abandoned: bool = False
+    is_hedged: bool = False
     is_closed: bool = False
 
 
@@ -119,10 +122,11 @@
         refused: tuple[str, ...],
         is_long: bool,
         now_s: float,
+        is_hedged: bool = False,
     ) -> None:
         """Record the placement of a flow on a target, or its placement on another one.
 
-        See ``Flow`` for `tried` and `refused`.
+        See ``Flow`` for `tried`, `refused` and `is_hedged`.
         """
         former = self.flows.get(packet.flow)
         opened_s = former.opened_s if former else now_s
@@ -138,6 +142,7 @@
             opening=packet,
             tried=tried,
             refused=refused,
+            is_hedged=is_hedged,
         )
         self.flows[packet.flow] = self.openings[packet.flow] = flow
         load = self.loads.get_or_create(token)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -18,6 +18,7 @@
 
 from ._evidence import Witness
 from ._flows import Flow, FlowTable
+from ._hedging import NO_HEDGES, HedgeLimits, Hedging
 from ._loads import TargetHealth, TargetLoads
 from ._packets import Action, FlowKey, Forward, Packet, Reset, format_flow
 from ._placement import Candidate, pick_service, pick_target, sample_targets
@@ -72,6 +73,8 @@
         Source of randomness for the sampling of targets.
     count : callable
         ``count(name, amount)`` adds to a counter.
+    hedge_limits : HedgeLimits
+        Limit of early second openings; none by default.
     report_unresponsive : callable
         Tells other VMs about a target that does not answer; called with its token and health.
     report_suspicion : callable
@@ -88,6 +91,7 @@
         vm: str = "",
         rng: Random,
         count: Callable[[str, int], None],
+        hedge_limits: HedgeLimits = NO_HEDGES,
         report_unresponsive: Callable[[int, TargetHealth], None] = lambda token, health: None,
         report_suspicion: Callable[[int], None] = lambda token: None,
         report_answer: Callable[[str, float], None] = lambda service, answer_s: None,
@@ -100,6 +104,7 @@
         self.vm = vm
         self.rng = rng
         self.count = count
+        self.hedging = Hedging(limits=hedge_limits)
         self.loads = TargetLoads()
         self.flows = FlowTable(loads=self.loads, report_answer=self._observe_answer)
         self._held_openings: dict[FlowKey, _HeldOpening] = {}
@@ -199,6 +204,10 @@
         Targets tried after the one that answered are not blamed: the caller accepts the first
         answer, which may only have been late.
         """
+        if self.hedging.is_on:
+            self._observe_opening_time(packet, flow, now_s)
+        if flow.is_hedged and now_s - flow.opened_s < OPENING_TIMEOUT_S:
+            return
         tokens = [
             build_token(target.identity)
             for key in flow.tried
@@ -219,6 +228,20 @@
             ):
                 self.report_unresponsive(token, health)
 
+    def _observe_opening_time(self, packet: Packet, flow: Flow, now_s: float) -> None:
+        """Learn from an answered opening, and count a hedge that answered first."""
+        target = self.directory.find_target(packet.token)
+        if target is None:
+            return
+        self.hedging.observe_answer(target.service, now_s - flow.opened_s)
+        if not flow.is_hedged or packet.token != flow.token:
+            return
+        self.count("hedges_won", 1)
+        first = self.directory.targets.get(flow.tried[-1])
+        if first is not None:
+            health = self.loads.get_or_create(build_token(first.identity)).health
+            health.observe_lost_hedge(since_s=flow.opened_s, now_s=now_s)
+
     def _place(
         self,
         packet: Packet,
@@ -227,8 +250,9 @@
         *,
         tried: tuple[str, ...] = (),
         refused: tuple[str, ...] = (),
+        is_hedged: bool = False,
     ) -> list[Action]:
-        """Choose a target for an opening; see ``Flow`` for `tried` and `refused`."""
+        """Choose a target for an opening; see ``Flow`` for `tried`, `refused` and `is_hedged`."""
         avoided = (*tried, *refused)
         service = pick_service(route=route, flow=packet.flow)
         serving = self.directory.list_serving(service, now_s)
@@ -246,8 +270,11 @@
             refused=refused,
             is_long=route.kind is TrafficKind.IDEMPOTENT,
             now_s=now_s,
+            is_hedged=is_hedged,
         )
         self.count("flows_placed", 1)
+        if not tried:
+            self.hedging.observe_opening(service)
         self._log_placement(packet, target, candidates, avoided, now_s)
         return [Forward(packet=packet, target=target, token=token)]
 
@@ -433,9 +460,57 @@
             and len(flow.tried) == 1
             and not flow.is_abandoned
         ]
-        return [action for flow in late for action in self._hedge(flow, now_s)]
+        actions = [action for flow in late for action in self._fail_over(flow, now_s)]
+        return [*actions, *self._decide_hedges(now_s)] if self.hedging.is_on else actions
+
+    def _decide_hedges(self, now_s: float) -> list[Action]:
+        """Return early second openings, and blame targets whose hedged openings stay unanswered."""
+        actions: list[Action] = []
+        for flow in list(self.flows.openings.values()):
+            age_s = now_s - flow.opened_s
+            if flow.is_hedged and age_s >= OPENING_TIMEOUT_S:
+                self._observe_unanswered_hedge(flow, now_s)
+            elif len(flow.tried) == 1 and not flow.is_abandoned and age_s < OPENING_TIMEOUT_S:
+                actions += self._hedge(flow, age_s, now_s)
+        return actions
+
+    def _hedge(self, flow: Flow, age_s: float, now_s: float) -> list[Action]:
+        """Send an opening that is slow for its service to a second target, within the limit."""
+        route = self.directory.routes.get(flow.opening.route_key)
+        if route is None or not route.is_retried:
+            return []
+        service = pick_service(route=route, flow=flow.opening.flow)
+        if not self.hedging.is_due(service, age_s):
+            return []
+        if not self._has_other_target(service, flow, now_s):
+            return []
+        if not self.hedging.spend(service):
+            self.count("hedges_over_limit", 1)
+            return []
+        self.count("hedges_sent", 1)
+        return self._place(
+            flow.opening, route, now_s, tried=flow.tried, refused=flow.refused, is_hedged=True
+        )
+
+    def _has_other_target(self, service: str, flow: Flow, now_s: float) -> bool:
+        """Return whether a target that is not ejected is left for a second opening."""
+        return any(
+            target.key not in flow.tried
+            and not self.loads.get_or_create(build_token(target.identity)).health.is_ejected(now_s)
+            for target in self.directory.list_serving(service, now_s)
+        )
+
+    def _observe_unanswered_hedge(self, flow: Flow, now_s: float) -> None:
+        """Eject the first target of a hedged opening that nobody has answered in time."""
+        flow.is_hedged = False
+        first = self.directory.targets.get(flow.tried[-1])
+        if first is None:
+            return
+        health = self.loads.get_or_create(build_token(first.identity)).health
+        self.count("openings_unanswered", 1)
+        health.observe_unanswered_opening(since_s=flow.opened_s, now_s=now_s)
 
-    def _hedge(self, flow: Flow, now_s: float) -> list[Action]:
+    def _fail_over(self, flow: Flow, now_s: float) -> list[Action]:
         """Send an unanswered opening to a second target.
 
         A third target is tried only after a retransmission by the caller. A caller that was
@@ -445,6 +520,8 @@
         if route is None:
             return []
         self._observe_unanswered_opening(flow, now_s)
+        self.hedging.charge_failover(pick_service(route=route, flow=flow.opening.flow))
+        self.count("failovers", 1)
         return self._place(flow.opening, route, now_s, tried=flow.tried, refused=flow.refused)
 
     def _prune(self, now_s: float) -> None:
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -24,6 +24,8 @@
 
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 8.0
+# Hedges in a row that a target may lose without an answer to anybody in between.
+MAX_LOST_HEDGES = 2
 # A suspected target is probed by a new flow within this time.
 SUSPICION_TTL_S = 0.5
 # A peer's report is ignored if the target has answered this recently.
@@ -108,6 +110,8 @@
         End of the current ejection.
     suspected_s : float
         When a request was last retransmitted without a recent answer of the target to any VM.
+    lost_hedges : int
+        Openings since the last answer that a hedge answered first.
     unresponsive_s : float
         When the target was last found to leave a request of an open flow unanswered.
     """
@@ -117,12 +121,14 @@
     ejected_until_s: float = 0.0
     suspected_s: float = float("-inf")
     unresponsive_s: float = float("-inf")
+    lost_hedges: int = 0
 
     def observe_answer(self, now_s: float) -> None:
         """Record an answer to a caller of this VM, which clears all failures."""
         self.evidence.observe_answer(now_s)
         self.ejection_s = 0.0
         self.ejected_until_s = 0.0
+        self.lost_hedges = 0
         self.suspected_s = float("-inf")
         self.unresponsive_s = float("-inf")
 
@@ -138,6 +144,18 @@
         self.ejected_until_s = now_s + self.ejection_s
         return True
 
+    def observe_lost_hedge(self, *, since_s: float, now_s: float) -> bool:
+        """Record that a hedge answered an opening of `since_s` first; return whether it ejects.
+
+        One says little: the target may just have been slower.
+        """
+        if self.evidence.last_answer_s >= since_s:
+            return False
+        self.lost_hedges += 1
+        if self.lost_hedges < MAX_LOST_HEDGES:
+            return False
+        return self.observe_unanswered_opening(since_s=since_s, now_s=now_s)
+
     def observe_peer_answer(self, answered_s: float) -> None:
         """Record an answer to a peer at `answered_s`.
 
--- a/mulberryswitch/front/__init__.py
+++ b/mulberryswitch/front/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from ._node import Front, run_front
+from ._options import parse_options
 from ._settings import (
     Adapter,
     Address,
@@ -27,5 +28,6 @@
     "HistoryLostError",
     "Store",
     "StoreError",
+    "parse_options",
     "run_front",
 ]
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -23,6 +23,8 @@
 __all__ = ["Front", "run_front"]
 
 TIMER_PERIOD_S = 0.01
+# Hedged openings are often a few milliseconds old.
+HEDGE_TIMER_PERIOD_S = 0.004
 # Has to stay below the gap between ticks that the forwarder takes for a pause of this process.
 IDLE_TIMER_PERIOD_S = 0.2
 SETTINGS_POLL_S = 2.0
@@ -69,6 +71,7 @@
             vm=settings.vm,
             rng=rng,
             count=self.metrics.count,
+            hedge_limits=settings.hedge_limits,
             report_unresponsive=lambda token, health: self.peers.report_unresponsive(token, health),
             report_suspicion=lambda token: self.peers.report_suspicion(token),
             report_answer=self.metrics.observe_answer,
@@ -123,7 +126,8 @@
             store_address=settings.store_address,
             shutdown_s=settings.shutdown_s,
         )
-        is_complete = self.settings == settings
+        # The options are read at the start only.
+        is_complete = self.settings == replace(settings, hedge_limits=self.settings.hedge_limits)
         log.info("settings applied", extra={"needs_restart": not is_complete})
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -168,9 +172,10 @@
 
     async def _run_timers(self) -> None:
         """Run the timers of flows that are being opened; without such flows, tick rarely."""
+        period_s = HEDGE_TIMER_PERIOD_S if self.forwarder.hedging.is_on else TIMER_PERIOD_S
         while True:
             if self.forwarder.flows.openings:
-                await asyncio.sleep(TIMER_PERIOD_S)
+                await asyncio.sleep(period_s)
             else:
                 await self._wait_for_opening()
             # Answers that wait in the socket are processed first, or a timer would count them as
--- a/mulberryswitch/front/_settings.py
+++ b/mulberryswitch/front/_settings.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, Protocol
 
 from mulberryswitch.directory import DecodeRecord, Position, Record
-from mulberryswitch.forwarding import Forward, Packet, Reset
+from mulberryswitch.forwarding import NO_HEDGES, Forward, HedgeLimits, Packet, Reset
 
 __all__ = [
     "Adapter",
@@ -69,6 +69,8 @@
         Peer addresses of some VMs, used to join the fleet; some may be out of date.
     link_bytes_per_s : float
         Capacity of this VM's link; infinite if it is not known.
+    hedge_limits : HedgeLimits
+        Limit of early second openings, from the operators' options; none by default.
     shutdown_s : float
         Time in seconds from the request to stop within which the process has to end.
     flow_lifetime_s : float
@@ -85,6 +87,7 @@
     seeds: tuple[Address, ...]
     store_address: Address
     link_bytes_per_s: float = float("inf")
+    hedge_limits: HedgeLimits = NO_HEDGES
     shutdown_s: float = 6.0
     flow_lifetime_s: float = 60.0
 
--- a/mulberryswitch/platform/_adapter.py
+++ b/mulberryswitch/platform/_adapter.py
@@ -7,9 +7,10 @@
 from ._settings import parse_settings
 from ._store import StoreClient
 
-__all__ = ["ADAPTER", "SETTINGS_VARIABLE"]
+__all__ = ["ADAPTER", "OPTIONS_VARIABLE", "SETTINGS_VARIABLE"]
 
 SETTINGS_VARIABLE = "MULBERRYSWITCH_CONFIG"
+OPTIONS_VARIABLE = "MULBERRYSWITCH_OPTIONS"
 
 ADAPTER = Adapter(
     parse_settings=parse_settings,
