Cold targets: a rate limit over the whole fleet without a coordinator

Before, `coldPerS` was not read. No deployment at hand states one (it is 0 on the wire, which means no limit), so this is inert there and is shown by the model only.

One owner per target (vms._claims), an exact window of nine tenths of the limit (forwarding._cold_targets), refusal at once of what only cold targets could take, the last quarter for the most urgent routes. Zones whose evacuation is taken back count as cold.

--- a/mulberryswitch/directory/__init__.py
+++ b/mulberryswitch/directory/__init__.py
@@ -8,6 +8,7 @@
 from ._read_planner import Pause, ReadAll, ReadPlanner, Watch
 from ._records import (
     START,
+    ColdLimit,
     DecodeRecord,
     Evacuation,
     Manifest,
@@ -27,6 +28,7 @@
     "START",
     "ChunkError",
     "ChunkStore",
+    "ColdLimit",
     "DecodeRecord",
     "Departure",
     "DepartureCause",
--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -1,7 +1,7 @@
 """Replica of the routes and targets at one position of the store."""
 
 import logging
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from ._change_log import ChangeLog
@@ -9,6 +9,7 @@
 from ._evacuations import Evacuations
 from ._records import (
     START,
+    ColdLimit,
     DecodeRecord,
     Evacuation,
     Manifest,
@@ -68,6 +69,7 @@
         self.decode = decode
         self.zones = zones
         self.services: frozenset[str] = frozenset()
+        self.cold_limits: Mapping[str, ColdLimit] = {}
         self.position = START
         self.version = 0
         self.idle_timeout_s = 60.0
@@ -136,6 +138,10 @@
         zones = {t.zone for t in self.targets.values() if t.service == service}
         return bool(zones) and zones <= self.evacuations.zones
 
+    def is_cold(self, target: Target, now_s: float) -> bool:
+        """Return whether a target is in its warm-up phase."""
+        return now_s < self.cold_until_s.get(target.key, 0.0)
+
     # Changes
 
     def apply_records(self, *, records: Iterable[Record], position: Position, now_s: float) -> bool:
@@ -311,7 +317,11 @@
     def _remove_record(self, key: str, now_s: float) -> bool:
         created_revision = self._records.pop(key).created_revision
         self._transition.settle(key)
-        self.evacuations.remove_request(key, now_s)
+        zone = self.evacuations.remove_request(key, now_s)
+        if zone is not None:
+            # The targets may have become cold meanwhile.
+            starts_s = {name: limit.start_s for name, limit in self.cold_limits.items()}
+            self._table.restart_warm_up(zone, starts_s, now_s)
         self._table.remove_target(key, DepartureCause.LAPSED, now_s, created_revision)
         return True
 
@@ -347,6 +357,7 @@
         self._config_key = record.key
         self._records[record.key] = record
         self._apply_manifest(content, record)
+        self.cold_limits = content.cold_limits
         if content.services != self.services:
             self.services = content.services
             self._list_targets_of_new_services(now_s)
--- a/mulberryswitch/directory/_evacuations.py
+++ b/mulberryswitch/directory/_evacuations.py
@@ -66,14 +66,15 @@
             extra={"zone": zone, "epoch": position.epoch, "revision": position.revision},
         )
 
-    def remove_request(self, key: str, now_s: float) -> None:
-        """Take a request back, if it is in force."""
+    def remove_request(self, key: str, now_s: float) -> str | None:
+        """Take a request back; return its zone, None if it was not in force."""
         former = self._by_key.pop(key, None)
         if former is None:
-            return
+            return None
         self._update_zones()
         lasted_s = round(now_s - former.since_s, 3)
         log.info("evacuation taken back", extra={"zone": former.zone, "lasted_s": lasted_s})
+        return former.zone
 
     def _update_zones(self) -> None:
         self.zones = frozenset(item.zone for item in self._by_key.values())
--- a/mulberryswitch/directory/_records.py
+++ b/mulberryswitch/directory/_records.py
@@ -1,12 +1,13 @@
 """Platform-independent model of the store's records and of the content that they describe."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
 __all__ = [
     "START",
+    "ColdLimit",
     "DecodeRecord",
     "Evacuation",
     "Manifest",
@@ -67,12 +68,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
-    """An address that callers connect to, with the weights that split new flows over services."""
+    """An address that callers connect to, with the weights that split new flows over services.
+
+    The highest `priority` is 0.
+    """
 
     name: str
     key: RouteKey
     kind: TrafficKind
     shares: tuple[tuple[str, float], ...]
+    priority: int = 0
 
     @property
     def is_retried(self) -> bool:
@@ -80,17 +85,27 @@
         return self.kind is not TrafficKind.NON_IDEMPOTENT
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ColdLimit:
+    """New flows a second that a target bears while it is cold, and for how long, in seconds."""
+
+    per_s: float
+    start_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Manifest:
     """A configuration published by an operator.
 
     `services` are the names of the services that exist; empty if the configuration lists none.
+    `cold_limits` are those of the services that have one.
     """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_s: float
     services: frozenset[str] = frozenset()
+    cold_limits: Mapping[str, ColdLimit] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mulberryswitch/directory/_target_table.py
+++ b/mulberryswitch/directory/_target_table.py
@@ -2,7 +2,7 @@
 
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ._departures import Departure, DepartureCause
 from ._records import Target
@@ -93,6 +93,13 @@
                 },
             )
 
+    def restart_warm_up(self, zone: str, starts_s: Mapping[str, float], now_s: float) -> None:
+        """Take the targets of a zone for cold, for the time that their service states."""
+        for target in self.targets.values():
+            if target.zone == zone and target.service in starts_s:
+                until_s = max(self.cold_until_s[target.key], now_s + starts_s[target.service])
+                self.cold_until_s[target.key] = until_s
+
     def remove_target(
         self, key: str, cause: DepartureCause, now_s: float, created_revision: int = 0
     ) -> None:
--- a/mulberryswitch/forwarding/__init__.py
+++ b/mulberryswitch/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding of callers' packets: placement of new flows, token routing, and target health."""
 
+from ._cold_targets import NO_COLD_EXCESS, ColdBounds, ColdGate
 from ._evidence import Witness
 from ._explanation import FlowExplanation, TargetView, explain_flow, parse_flow
 from ._flows import Flow, FlowTable
@@ -16,6 +17,9 @@
 from ._placement import Candidate, pick_service, pick_target, sample_targets
 
 __all__ = [
+    "NO_COLD_EXCESS",
+    "ColdBounds",
+    "ColdGate",
     "Witness",
     "Action",
     "Candidate",
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -16,6 +16,7 @@
     build_token,
 )
 
+from ._cold_targets import NO_COLD_EXCESS, ColdGate
 from ._evidence import Witness
 from ._flows import Flow, FlowTable
 from ._hedging import NO_HEDGES, HedgeLimits, Hedging
@@ -75,6 +76,8 @@
         ``count(name, amount)`` adds to a counter.
     hedge_limits : HedgeLimits
         Limit of early second openings; none by default.
+    cold_gate : ColdGate
+        Limit of new flows to cold targets; by default those of services with a limit get none.
     report_unresponsive : callable
         Tells other VMs about a target that does not answer; called with its token and health.
     report_suspicion : callable
@@ -92,6 +95,7 @@
         rng: Random,
         count: Callable[[str, int], None],
         hedge_limits: HedgeLimits = NO_HEDGES,
+        cold_gate: ColdGate | None = None,
         report_unresponsive: Callable[[int, TargetHealth], None] = lambda token, health: None,
         report_suspicion: Callable[[int], None] = lambda token: None,
         report_answer: Callable[[str, float], None] = lambda service, answer_s: None,
@@ -104,6 +108,9 @@
         self.vm = vm
         self.rng = rng
         self.count = count
+        self.cold_gate = cold_gate or ColdGate(
+            bounds=NO_COLD_EXCESS, is_owner=lambda key, now_s: False
+        )
         self.hedging = Hedging(limits=hedge_limits)
         self.loads = TargetLoads()
         self.flows = FlowTable(loads=self.loads, report_answer=self._observe_answer)
@@ -255,7 +262,7 @@
         """Choose a target for an opening; see ``Flow`` for `tried`, `refused` and `is_hedged`."""
         avoided = (*tried, *refused)
         service = pick_service(route=route, flow=packet.flow)
-        serving = self.directory.list_serving(service, now_s)
+        serving = self._list_admitting(service, route, now_s)
         suspected = None if avoided else self._pick_suspected(serving, now_s)
         sampled = [suspected] if suspected else self._sample_targets(serving, avoided, now_s)
         candidates = [self._rate(target, now_s) for target in sampled]
@@ -273,16 +280,40 @@
             is_hedged=is_hedged,
         )
         self.count("flows_placed", 1)
+        if service in self.directory.cold_limits and self.directory.is_cold(target, now_s):
+            self.count("flows_to_cold_targets", 1)
+            self.cold_gate.observe_flow(key=target.key, now_s=now_s)
         if not tried:
             self.hedging.observe_opening(service)
         self._log_placement(packet, target, candidates, avoided, now_s)
         return [Forward(packet=packet, target=target, token=token)]
 
+    def _list_admitting(self, service: str, route: Route, now_s: float) -> list[Target]:
+        """Return the targets that accept a new flow of `route` now."""
+        serving = self.directory.list_serving(service, now_s)
+        limit = self.directory.cold_limits.get(service)
+        if limit is None:
+            return serving
+        return [
+            target
+            for target in serving
+            if not self.directory.is_cold(target, now_s)
+            or (
+                target.zone == self.zone
+                and self.cold_gate.is_open(
+                    key=target.key, cold_per_s=limit.per_s, priority=route.priority, now_s=now_s
+                )
+            )
+        ]
+
     def _refuse(self, packet: Packet, service: str) -> list[Action]:
         """Reset an opening at once that no target may get; it has not run anywhere."""
         if self.directory.is_evacuated(service):
             self.count("openings_refused_evacuated", 1)
             return self._reset(packet, "all targets evacuated")
+        if service in self.directory.cold_limits:
+            self.count("openings_refused_cold", 1)
+            return self._reset(packet, "only cold targets")
         return self._reset(packet, "no target")
 
     def _log_placement(
@@ -342,7 +373,7 @@
         shared = self.loads.list_peer_loads(token, now_s)
         long_flows = load.long_flows + sum(entry.long_flows for entry in shared)
         busy = load.busy + load.openings + sum(entry.busy for entry in shared)
-        is_cold = now_s < self.directory.cold_until_s.get(target.key, 0.0)
+        is_cold = self.directory.is_cold(target, now_s)
         return Candidate(
             target=target,
             work=busy + LONG_FLOW_WORK * long_flows,
@@ -482,7 +513,7 @@
         service = pick_service(route=route, flow=flow.opening.flow)
         if not self.hedging.is_due(service, age_s):
             return []
-        if not self._has_other_target(service, flow, now_s):
+        if not self._has_other_target(service, route, flow, now_s):
             return []
         if not self.hedging.spend(service):
             self.count("hedges_over_limit", 1)
@@ -492,12 +523,12 @@
             flow.opening, route, now_s, tried=flow.tried, refused=flow.refused, is_hedged=True
         )
 
-    def _has_other_target(self, service: str, flow: Flow, now_s: float) -> bool:
+    def _has_other_target(self, service: str, route: Route, flow: Flow, now_s: float) -> bool:
         """Return whether a target that is not ejected is left for a second opening."""
         return any(
             target.key not in flow.tried
             and not self.loads.get_or_create(build_token(target.identity)).health.is_ejected(now_s)
-            for target in self.directory.list_serving(service, now_s)
+            for target in self._list_admitting(service, route, now_s)
         )
 
     def _observe_unanswered_hedge(self, flow: Flow, now_s: float) -> None:
@@ -526,6 +557,7 @@
 
     def _prune(self, now_s: float) -> None:
         self._pruned_s = now_s
+        self.cold_gate.forget_idle(now_s)
         self.flows.prune(now_s=now_s, idle_timeout_s=self.directory.idle_timeout_s)
         self.loads.drop_unknown(self.directory.list_tokens(), now_s)
         self._held_openings = {
--- a/mulberryswitch/front/_node.py
+++ b/mulberryswitch/front/_node.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from mulberryswitch.directory import Directory
-from mulberryswitch.forwarding import Action, Forward, Forwarder
+from mulberryswitch.forwarding import Action, ColdGate, Forward, Forwarder
 from mulberryswitch.observability import Metrics
 from mulberryswitch.transport import DatagramSocket, HttpServer
 
@@ -72,6 +72,10 @@
             rng=rng,
             count=self.metrics.count,
             hedge_limits=settings.hedge_limits,
+            cold_gate=ColdGate(
+                bounds=settings.cold_bounds,
+                is_owner=lambda key, now_s: self.peers.claims.is_owner(key, now_s),
+            ),
             report_unresponsive=lambda token, health: self.peers.report_unresponsive(token, health),
             report_suspicion=lambda token: self.peers.report_suspicion(token),
             report_answer=self.metrics.observe_answer,
--- a/mulberryswitch/front/_peers.py
+++ b/mulberryswitch/front/_peers.py
@@ -24,7 +24,7 @@
 from mulberryswitch.directory import START, Directory, Feed, Position, Source
 from mulberryswitch.forwarding import TargetHealth, TargetLoads, Witness
 from mulberryswitch.transport import DatagramSocket, is_ip_port, parse_host_port
-from mulberryswitch.vms import Member, Membership, pick_readers
+from mulberryswitch.vms import Member, Membership, OwnershipClaims, pick_readers
 
 from ._load_exchange import OTHER_ZONES, LoadExchange
 from ._pacing import TransferPacer
@@ -94,6 +94,7 @@
             address="{}:{}".format(*settings.peer_address),
             incarnation=int(time.time() * 1000),
         )
+        self.claims = OwnershipClaims(vm=settings.vm, zone=settings.zone)
         self.load_exchange = LoadExchange(
             vm=settings.vm, zone=settings.zone, loads=loads, feed=self.feed
         )
@@ -177,6 +178,7 @@
             await asyncio.sleep(TICK_S)
             now_s = self.clock()
             self._send_all(self.membership.decide_tick(now_s=now_s, rng=self.rng))
+            self.claims.observe_members(self.membership.live(), now_s)
             self._log_member_changes()
             self.feed.remove_expired(self.membership.live(), now_s)
             self._announce(now_s)
--- a/mulberryswitch/front/_settings.py
+++ b/mulberryswitch/front/_settings.py
@@ -5,7 +5,15 @@
 from typing import NamedTuple, Protocol
 
 from mulberryswitch.directory import DecodeRecord, Position, Record
-from mulberryswitch.forwarding import NO_HEDGES, Forward, HedgeLimits, Packet, Reset
+from mulberryswitch.forwarding import (
+    NO_COLD_EXCESS,
+    NO_HEDGES,
+    ColdBounds,
+    Forward,
+    HedgeLimits,
+    Packet,
+    Reset,
+)
 
 __all__ = [
     "Adapter",
@@ -69,6 +77,8 @@
         Peer addresses of some VMs, used to join the fleet; some may be out of date.
     link_bytes_per_s : float
         Capacity of this VM's link; infinite if it is not known.
+    cold_bounds : ColdBounds
+        What is allowed beyond the rates that services state for their cold targets.
     hedge_limits : HedgeLimits
         Limit of early second openings, from the operators' options; none by default.
     shutdown_s : float
@@ -87,6 +97,7 @@
     seeds: tuple[Address, ...]
     store_address: Address
     link_bytes_per_s: float = float("inf")
+    cold_bounds: ColdBounds = NO_COLD_EXCESS
     hedge_limits: HedgeLimits = NO_HEDGES
     shutdown_s: float = 6.0
     flow_lifetime_s: float = 60.0
--- a/mulberryswitch/platform/_records.py
+++ b/mulberryswitch/platform/_records.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mulberryswitch.directory import (
+    ColdLimit,
     Evacuation,
     Manifest,
     Record,
@@ -53,6 +54,7 @@
     # A port number between slashes, not a path.
     prefix: str
     type: str = "safe"
+    priority: int = 0
     service: str | None = None
     split: tuple[_Share, ...] = ()
 
@@ -63,6 +65,9 @@
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
+    cold_start_s: float = 0.0
+    # 0 for no limit.
+    cold_per_s: float = 0.0
 
 
 class _Manifest(msgspec.Struct):
@@ -127,6 +132,11 @@
         routes=tuple(_build_route(route) for route in wire.routes),
         idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
         services=frozenset(service.name for service in wire.services),
+        cold_limits={
+            service.name: ColdLimit(per_s=service.cold_per_s, start_s=service.cold_start_s)
+            for service in wire.services
+            if service.cold_per_s > 0
+        },
     )
 
 
@@ -143,7 +153,11 @@
         raise ValueError(f"route {wire.name}: neither a service nor a split with a positive weight")
     port = _parse_port(wire.prefix.strip("/"))
     return Route(
-        name=wire.name, key=(int(ipaddress.IPv4Address(wire.host)), port), kind=kind, shares=shares
+        name=wire.name,
+        key=(int(ipaddress.IPv4Address(wire.host)), port),
+        kind=kind,
+        shares=shares,
+        priority=wire.priority,
     )
 
 
--- a/mulberryswitch/platform/_settings.py
+++ b/mulberryswitch/platform/_settings.py
@@ -1,5 +1,6 @@
 """Settings file that the users' platform writes, with lines of the form ``a.b=value``."""
 
+from mulberryswitch.forwarding import ColdBounds
 from mulberryswitch.front import Address, FrontSettings, FrontSettingsError
 
 __all__ = ["parse_settings"]
@@ -44,6 +45,10 @@
         store_address=_parse_address("platform.address", _get_required(fields, "platform.address")),
         link_bytes_per_s=_parse_positive("limits.linkMbps", fields.get("limits.linkMbps") or "1e9")
         * BYTES_PER_MEGABIT,
+        cold_bounds=ColdBounds(
+            overage=_parse_positive("bounds.coldOverage", fields.get("bounds.coldOverage") or "1"),
+            slack=_parse_not_negative("bounds.coldSlack", fields.get("bounds.coldSlack") or "0"),
+        ),
         shutdown_s=_parse_positive("bounds.graceS", fields.get("bounds.graceS", "6")),
         flow_lifetime_s=_parse_positive("bounds.flowMaxS", fields.get("bounds.flowMaxS", "60")),
     )
@@ -69,6 +74,10 @@
     return int(value)
 
 
+def _parse_not_negative(name: str, value: str) -> float:
+    return 0.0 if value == "0" else _parse_positive(name, value)
+
+
 def _parse_positive(name: str, value: str) -> float:
     try:
         number = float(value)
--- a/mulberryswitch/vms/__init__.py
+++ b/mulberryswitch/vms/__init__.py
@@ -1,5 +1,6 @@
 """Fleet membership (SWIM), failure detection and choice of owners."""
 
+from ._claims import OwnershipClaims
 from ._membership import Membership, OutgoingDatagram, VmListEntry
 from ._owners import Member, pick_owner, pick_standbys, rank_members
 from ._pause import PauseDetector
@@ -11,6 +12,7 @@
     "Member",
     "Membership",
     "READERS_PER_ZONE",
+    "OwnershipClaims",
     "PauseDetector",
     "OutgoingDatagram",
     "SilenceDetector",
