Move conclusions from openings out of the forwarder

What becomes of an opening (refused, late, answered by a later target, hedged) is evidence and learned time, a job of its own: _openings.py.

--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -17,20 +17,15 @@
 )
 
 from ._cold_targets import NO_COLD_EXCESS, ColdGate
-from ._evidence import Witness
 from ._flows import Flow, FlowTable
 from ._hedging import NO_HEDGES, HedgeLimits, Hedging
 from ._loads import TargetHealth, TargetLoads
+from ._openings import OPENING_TIMEOUT_S, OpeningObserver
 from ._packets import Action, FlowKey, Forward, Packet, Reset, format_flow
 from ._placement import Candidate, pick_service, pick_target, sample_targets
 
 __all__ = ["Forwarder"]
 
-# The caller's acknowledgement of the target's answer normally reaches this VM within 10 ms. After
-# this timeout the opening was lost or the target is down.
-OPENING_TIMEOUT_S = 0.03
-# An opening that is unanswered for this long when its caller opens another flow was refused.
-REFUSED_AFTER_S = 0.012
 MAX_PLACEMENTS = 4
 # A starting VM holds openings until it has a configuration, for at most the time that callers wait
 # for an answer.
@@ -114,6 +109,15 @@
         self.hedging = Hedging(limits=hedge_limits)
         self.loads = TargetLoads()
         self.flows = FlowTable(loads=self.loads, report_answer=self._observe_answer)
+        self.observer = OpeningObserver(
+            vm=vm,
+            directory=directory,
+            loads=self.loads,
+            flows=self.flows,
+            hedging=self.hedging,
+            count=count,
+            report_unresponsive=lambda token, health: self.report_unresponsive(token, health),
+        )
         self._held_openings: dict[FlowKey, _HeldOpening] = {}
         self._last_tick_s: float | None = None
         self._pruned_s = 0.0
@@ -134,7 +138,7 @@
         is_long = route is not None and route.kind is TrafficKind.IDEMPOTENT
         former = self.flows.find(packet.flow)
         if former is not None and former.opening is not None:
-            self._observe_opening_answer(packet, former, now_s)
+            self.observer.observe_answer(packet, former, now_s)
         flow = self.flows.apply_packet(packet=packet, is_long=is_long, now_s=now_s)
         if (
             flow is not None
@@ -154,101 +158,22 @@
             return self._reset(packet, "no route")
         flow = self.flows.find(packet.flow)
         if flow is None or flow.is_closed:
-            return self._place(packet, route, now_s, refused=self._find_refusals(packet, now_s))
+            return self._place(
+                packet, route, now_s, refused=self.observer.observe_opening(packet, now_s)
+            )
         flow.is_abandoned = False
         if flow.opening is None or now_s - flow.sent_s < OPENING_TIMEOUT_S:
             return self._resend(packet, flow)
         # The caller still waits, so the most recently tried target does not answer either.
-        self._observe_unanswered_opening(flow, now_s)
+        self.observer.observe_timeout(flow, now_s)
         if len(flow.tried) >= MAX_PLACEMENTS:
             return self._resend(packet, flow)
         return self._place(packet, route, now_s, tried=flow.tried, refused=flow.refused)
 
-    def _find_refusals(self, packet: Packet, now_s: float) -> tuple[str, ...]:
-        """Return the targets that refused earlier openings of this caller to the same route.
-
-        A process that does not listen resets the opening directly at the caller, bypassing the
-        VMs, and the caller retries from another port. Only the first target of an opening is
-        blamed: a later one answers a caller that has already abandoned the flow.
-        """
-        refused = [
-            flow
-            for key, flow in self.flows.openings.items()
-            if key[0] == packet.flow[0]
-            and key[2:] == packet.flow[2:]
-            and now_s - flow.opened_s >= REFUSED_AFTER_S
-            and not flow.is_abandoned
-        ]
-        for flow in refused:
-            if len(flow.tried) == 1:
-                self._observe_unanswered_opening(flow, now_s)
-            # The flow keeps its entry, so that a late answer still clears the target.
-            flow.is_abandoned = True
-        return tuple(flow.tried[-1] for flow in refused)
-
     def _resend(self, packet: Packet, flow: Flow) -> list[Action]:
         target = self.directory.find_target(flow.token)
         return [Forward(packet=packet, target=target, token=flow.token)] if target else []
 
-    def _observe_unanswered_opening(self, flow: Flow, now_s: float) -> None:
-        """Record an unanswered opening and eject its target."""
-        self.count("openings_unanswered", 1)
-        health = self.loads.get_or_create(flow.token).health
-        if not health.observe_unanswered_opening(since_s=flow.sent_s, now_s=now_s):
-            return
-        log.warning(
-            "target does not answer; ejecting it from the choice for new flows",
-            extra={
-                "target": flow.tried[0],
-                "waited_s": round(now_s - flow.sent_s, 3),
-                "ejection_s": health.ejection_s,
-            },
-        )
-
-    def _observe_opening_answer(self, packet: Packet, flow: Flow, now_s: float) -> None:
-        """Confirm the failures of the targets tried before the one that answered, and report them.
-
-        Targets tried after the one that answered are not blamed: the caller accepts the first
-        answer, which may only have been late.
-        """
-        if self.hedging.is_on:
-            self._observe_opening_time(packet, flow, now_s)
-        if flow.is_hedged and now_s - flow.opened_s < OPENING_TIMEOUT_S:
-            return
-        tokens = [
-            build_token(target.identity)
-            for key in flow.tried
-            if (target := self.directory.targets.get(key)) is not None
-        ]
-        if packet.token in tokens:
-            tokens = tokens[tokens.index(packet.token) + 1 :]
-        refused = [
-            build_token(target.identity)
-            for key in flow.refused
-            if (target := self.directory.targets.get(key)) is not None
-        ]
-        for token in {*tokens, *refused} - {packet.token}:
-            health = self.loads.get_or_create(token).health
-            witness = Witness(vm=self.vm, caller=packet.flow[0])
-            if health.observe_confirmed_failure(
-                witness=witness, since_s=flow.opened_s, now_s=now_s
-            ):
-                self.report_unresponsive(token, health)
-
-    def _observe_opening_time(self, packet: Packet, flow: Flow, now_s: float) -> None:
-        """Learn from an answered opening, and count a hedge that answered first."""
-        target = self.directory.find_target(packet.token)
-        if target is None:
-            return
-        self.hedging.observe_answer(target.service, now_s - flow.opened_s)
-        if not flow.is_hedged or packet.token != flow.token:
-            return
-        self.count("hedges_won", 1)
-        first = self.directory.targets.get(flow.tried[-1])
-        if first is not None:
-            health = self.loads.get_or_create(build_token(first.identity)).health
-            health.observe_lost_hedge(since_s=flow.opened_s, now_s=now_s)
-
     def _place(
         self,
         packet: Packet,
@@ -477,20 +402,14 @@
         ]
 
     def decide_tick(self, *, now_s: float) -> list[Action]:
-        """Prune state and return the actions that are due: hedges of unanswered openings."""
+        """Prune state and return the actions that are due: second openings of unanswered ones."""
         last_s, self._last_tick_s = self._last_tick_s, now_s
         if last_s is not None and now_s - last_s > PAUSE_THRESHOLD_S:
             self.flows.restart_timers(now_s)
             return []
         if now_s - self._pruned_s >= PRUNE_INTERVAL_S:
             self._prune(now_s)
-        late = [
-            flow
-            for flow in self.flows.openings.values()
-            if now_s - flow.sent_s >= OPENING_TIMEOUT_S
-            and len(flow.tried) == 1
-            and not flow.is_abandoned
-        ]
+        late = self.observer.list_late(now_s)
         actions = [action for flow in late for action in self._fail_over(flow, now_s)]
         return [*actions, *self._decide_hedges(now_s)] if self.hedging.is_on else actions
 
@@ -500,7 +419,7 @@
         for flow in list(self.flows.openings.values()):
             age_s = now_s - flow.opened_s
             if flow.is_hedged and age_s >= OPENING_TIMEOUT_S:
-                self._observe_unanswered_hedge(flow, now_s)
+                self.observer.observe_hedge_timeout(flow, now_s)
             elif len(flow.tried) == 1 and not flow.is_abandoned and age_s < OPENING_TIMEOUT_S:
                 actions += self._hedge(flow, age_s, now_s)
         return actions
@@ -531,16 +450,6 @@
             for target in self._list_admitting(service, route, now_s)
         )
 
-    def _observe_unanswered_hedge(self, flow: Flow, now_s: float) -> None:
-        """Eject the first target of a hedged opening that nobody has answered in time."""
-        flow.is_hedged = False
-        first = self.directory.targets.get(flow.tried[-1])
-        if first is None:
-            return
-        health = self.loads.get_or_create(build_token(first.identity)).health
-        self.count("openings_unanswered", 1)
-        health.observe_unanswered_opening(since_s=flow.opened_s, now_s=now_s)
-
     def _fail_over(self, flow: Flow, now_s: float) -> list[Action]:
         """Send an unanswered opening to a second target.
 
@@ -550,7 +459,7 @@
         route = self.directory.routes.get(flow.opening.route_key)
         if route is None:
             return []
-        self._observe_unanswered_opening(flow, now_s)
+        self.observer.observe_timeout(flow, now_s)
         self.hedging.charge_failover(pick_service(route=route, flow=flow.opening.flow))
         self.count("failovers", 1)
         return self._place(flow.opening, route, now_s, tried=flow.tried, refused=flow.refused)
