--- a/mulberryswitch/cli/_front.py
+++ b/mulberryswitch/cli/_front.py
@@ -41,6 +41,67 @@
     click.echo(json.dumps(summary) if output == "json" else text)
 
 
+@front.command(name="check-config")
+@click.argument("path", type=click.Path(path_type=Path))
+@click.option(
+    "--against",
+    type=click.Path(path_type=Path),
+    help="The configuration in force, to show what would change.",
+)
+@output_option
+def check_config(path: Path, against: Path | None, output: str) -> None:
+    """Check a configuration of the users' platform before it is sent.
+
+    Exits with 0 if it may be sent, also with warnings, and with 1 if it has errors.
+
+    \b
+    Example: mulberryswitch front check-config new.json --against current.json
+    """
+    from mulberryswitch.front import (
+        Severity,
+        check_document,
+        compare_documents,
+        find_version_problem,
+    )
+
+    document = _read_document(path, output)
+    problems = check_document(document)
+    differences = []
+    if against is not None:
+        former = _read_document(against, output)
+        problems = [*find_version_problem(former, document), *problems]
+        differences = compare_documents(former, document)
+    rows = [(item.severity.value, item.place, item.reason) for item in problems]
+    is_ok = Severity.ERROR.value not in {severity for severity, _, _ in rows}
+    if output == "json":
+        content = {
+            "ok": is_ok,
+            "problems": [dict(zip(("severity", "place", "reason"), r, strict=True)) for r in rows],
+            "differences": [{"place": d.place, "change": d.change} for d in differences],
+        }
+        click.echo(json.dumps(content))
+    else:
+        for severity, place, reason in rows:
+            click.echo(f"{severity}: {place}: {reason}")
+        for item in differences:
+            click.echo(f"change: {item.place}: {item.change}")
+        click.echo(f"{path}: {'may be sent' if is_ok else 'must not be sent'}")
+    sys.exit(0 if is_ok else EXIT_REFUSED)
+
+
+def _read_document(path: Path, output: str) -> Any:
+    """Return the configuration in a file; exit with an error that names the place in it."""
+    from mulberryswitch.platform import parse_config_document
+
+    try:
+        return parse_config_document(path.read_bytes())
+    except (OSError, ValueError) as exc:
+        problem = {"severity": "error", "place": str(path), "reason": str(exc)}
+        content = {"ok": False, "problems": [problem], "differences": []}
+        click.echo(json.dumps(content) if output == "json" else f"error: {path}: {exc}")
+        sys.exit(EXIT_REFUSED)
+
+
 @front.command()
 @click.argument("addresses", nargs=-1, required=True, metavar="IP:PORT...")
 @output_option
--- a/mulberryswitch/front/__init__.py
+++ b/mulberryswitch/front/__init__.py
@@ -3,6 +3,8 @@
 Everything specific to a platform (formats of packets, records and settings) is behind ``Adapter``.
 """
 
+from mulberryswitch._lazy import build_lazy_getter
+
 from ._node import Front, run_front
 from ._options import parse_options
 from ._settings import (
@@ -18,6 +20,15 @@
 )
 
 __all__ = [
+    "ConfigDocument",
+    "Difference",
+    "Problem",
+    "RouteEntry",
+    "ServiceEntry",
+    "Severity",
+    "check_document",
+    "compare_documents",
+    "find_version_problem",
     "Adapter",
     "Address",
     "AnswerTooLargeError",
@@ -31,3 +42,18 @@
     "parse_options",
     "run_front",
 ]
+
+# Only commands use these, so a VM does not import them.
+_COMMAND_NAMES = (
+    "ConfigDocument",
+    "Difference",
+    "Problem",
+    "RouteEntry",
+    "ServiceEntry",
+    "Severity",
+    "check_document",
+    "compare_documents",
+    "find_version_problem",
+)
+
+__getattr__ = build_lazy_getter(__name__, dict.fromkeys(_COMMAND_NAMES, "_config_check"))
--- a/mulberryswitch/platform/__init__.py
+++ b/mulberryswitch/platform/__init__.py
@@ -10,6 +10,7 @@
     "decode_record",
     "encode_forward",
     "encode_reset",
+    "parse_config_document",
     "parse_settings",
 ]
 
@@ -24,6 +25,7 @@
         "decode_record": "_records",
         "encode_forward": "_packets",
         "encode_reset": "_packets",
+        "parse_config_document": "_config_document",
         "parse_settings": "_settings",
     },
 )
--- a/mulberryswitch/platform/_records.py
+++ b/mulberryswitch/platform/_records.py
@@ -14,11 +14,12 @@
     Record,
     RecordContent,
     Route,
+    RouteKey,
     Target,
     TrafficKind,
 )
 
-__all__ = ["MANIFEST_KEY", "TARGET_PREFIX", "decode_record"]
+__all__ = ["KINDS", "MANIFEST_KEY", "TARGET_PREFIX", "decode_record", "parse_route_key"]
 
 MANIFEST_KEY = "op/config"
 TARGET_PREFIX = "servers/"
@@ -34,7 +35,7 @@
 
 log = logging.getLogger("platform")
 
-_KINDS = {
+KINDS = {
     # Requests on an "unsafe" route must not run twice.
     "unsafe": TrafficKind.NON_IDEMPOTENT,
     "safe": TrafficKind.IDEMPOTENT,
@@ -143,7 +144,7 @@
 @lru_cache(maxsize=MAX_CACHED_ROUTES)
 def _build_route(wire: _Route) -> Route:
     """Return a route; cached, as a new version changes few of thousands of routes."""
-    kind = _KINDS.get(wire.type)
+    kind = KINDS.get(wire.type)
     if kind is None:
         raise ValueError(f"route {wire.name}: unknown type {wire.type!r}")
     shares = tuple((share.service, share.weight) for share in wire.split if share.weight > 0)
@@ -151,16 +152,20 @@
         shares = ((wire.service, 1.0),)
     if not shares:
         raise ValueError(f"route {wire.name}: neither a service nor a split with a positive weight")
-    port = _parse_port(wire.prefix.strip("/"))
     return Route(
         name=wire.name,
-        key=(int(ipaddress.IPv4Address(wire.host)), port),
+        key=parse_route_key(wire.host, wire.prefix),
         kind=kind,
         shares=shares,
         priority=wire.priority,
     )
 
 
+def parse_route_key(host: str, prefix: str) -> RouteKey:
+    """Return address and port of a route; raise ``ValueError`` if one of them is invalid."""
+    return int(ipaddress.IPv4Address(host)), _parse_port(prefix.strip("/"))
+
+
 def _build_target(key: str, wire: _Target) -> Target:
     if wire.state not in ("ready", "draining"):
         raise ValueError(f"unknown state {wire.state!r}")
