--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -59,6 +59,8 @@
         Number of retransmissions of the newest payload by the caller.
     is_hedged : bool
         Whether its last target was tried early, which says nothing against the one before.
+    is_over_limit : bool
+        Whether a second target was due for its opening and the budget of hedges was empty.
     is_abandoned : bool
         Whether the caller was presumably refused, since it opened another flow.
     """
@@ -77,6 +79,7 @@
     repeats: int = 0
     is_abandoned: bool = False
     is_hedged: bool = False
+    is_over_limit: bool = False
     is_closed: bool = False
 
 
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -435,7 +435,8 @@
         if not self._has_other_target(service, route, flow, now_s):
             return []
         if not self.hedging.spend(service):
-            self.count("hedges_over_limit", 1)
+            self.count("hedges_over_limit", int(not flow.is_over_limit))
+            flow.is_over_limit = True
             return []
         self.count("hedges_sent", 1)
         return self._place(
--- a/mulberryswitch/forwarding/tests/test_hedging.py
+++ b/mulberryswitch/forwarding/tests/test_hedging.py
@@ -153,6 +153,12 @@
         without = sorted(self.play(1_000, **load)[200:])
         self.assertLess(with_hedges[-20], 0.6 * without[-20])
 
+    def test_opening_over_the_limit_counts_once(self):
+        self.set_limits(HedgeLimits(share=0.05))
+        self.play(60)
+        self.play(40, slow={"t1": 0.02, "t2": 0.02, "t3": 0.02})
+        self.assertLessEqual(self.counts["hedges_over_limit"], 40)
+
     def test_nothing_is_hedged_without_a_limit(self):
         self.set_limits(HedgeLimits())
         self.play(300, slow={"t1": 0.02})
