Move the configuration in force out of the replica

Version, routes, services and limits of the configuration are one state with one rule (the version never decreases): _config_in_force.py. A change of the services no longer decodes the configuration a second time.

--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -5,11 +5,11 @@
 from dataclasses import replace
 
 from ._change_log import ChangeLog
+from ._config_in_force import ConfigInForce
 from ._departures import LAPSE_GRACE_S, Departure, DepartureCause
 from ._evacuations import Evacuations
 from ._records import (
     START,
-    ColdLimit,
     DecodeRecord,
     Evacuation,
     Manifest,
@@ -68,15 +68,10 @@
     ):
         self.decode = decode
         self.zones = zones
-        self.services: frozenset[str] = frozenset()
-        self.cold_limits: Mapping[str, ColdLimit] = {}
         self.position = START
-        self.version = 0
-        self.idle_timeout_s = 60.0
         self.changed_s = 0.0
         self.keeps_heritage = False
-        self.routes: dict[RouteKey, Route] = {}
-        self.removed_routes: set[RouteKey] = set()
+        self.config = ConfigInForce()
         self._table = TargetTable(
             get_created_revision=lambda key: self._records[key].created_revision,
             keep_departed_s=keep_departed_s,
@@ -87,13 +82,22 @@
         self.cold_until_s = self._table.cold_until_s
         self._records: dict[str, Record] = {}
         self._log = ChangeLog()
-        self._config_key: str | None = None
         self._transition = EpochTransition()
 
     @property
     def is_loaded(self) -> bool:
         """Whether a configuration has been received."""
-        return bool(self.version)
+        return bool(self.config.version)
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first one."""
+        return self.config.version
+
+    @property
+    def routes(self) -> Mapping[RouteKey, Route]:
+        """Routes of the configuration in force."""
+        return self.config.routes
 
     @property
     def epoch(self) -> int:
@@ -282,7 +286,7 @@
         if known is not None and known.position >= record.position:
             return False
         content = self.decode(record) if record.value is not None else None
-        if record.key == self._config_key or isinstance(content, Manifest):
+        if record.key == self.config.key or isinstance(content, Manifest):
             return self._apply_config(record, content, now_s)
         if record.value is None:
             return known is not None and self._remove_record(record.key, now_s)
@@ -320,7 +324,7 @@
         zone = self.evacuations.remove_request(key, now_s)
         if zone is not None:
             # The targets may have become cold meanwhile.
-            starts_s = {name: limit.start_s for name, limit in self.cold_limits.items()}
+            starts_s = {name: limit.start_s for name, limit in self.config.cold_limits.items()}
             self._table.restart_warm_up(zone, starts_s, now_s)
         self._table.remove_target(key, DepartureCause.LAPSED, now_s, created_revision)
         return True
@@ -330,62 +334,28 @@
 
         A record that names others is of another writer.
         """
-        is_service = not self.services or target.service in self.services
+        is_service = not self.config.services or target.service in self.config.services
         return is_service and (not self.zones or target.zone in self.zones)
 
     # Configuration
 
     def _apply_config(self, record: Record, content: RecordContent | None, now_s: float) -> bool:
-        """Put a configuration in force, unless a newer version is.
+        """Put a configuration in force; return whether it was.
 
-        A restored store may hold an older version at a later position. A configuration that is
-        unreadable or deleted leaves the present one in force.
+        A configuration that is unreadable or deleted leaves the present one in force.
         """
-        if not isinstance(content, Manifest):
-            return False
-        if content.version < self.version:
-            log.warning(
-                "older configuration ignored",
-                extra={
-                    "version": content.version,
-                    "version_in_force": self.version,
-                    "epoch": record.epoch,
-                    "revision": record.revision,
-                },
-            )
+        services = self.config.services
+        if not isinstance(content, Manifest) or not self.config.apply_manifest(content, record):
             return False
-        self._config_key = record.key
         self._records[record.key] = record
-        self._apply_manifest(content, record)
-        self.cold_limits = content.cold_limits
-        if content.services != self.services:
-            self.services = content.services
+        if self.config.services != services:
             self._list_targets_of_new_services(now_s)
         return True
 
-    def _apply_manifest(self, manifest: Manifest, record: Record) -> None:
-        routes = {route.key: route for route in manifest.routes}
-        self.removed_routes |= self.routes.keys()
-        self.removed_routes -= routes.keys()
-        self.routes = routes
-        self.idle_timeout_s = manifest.idle_timeout_s
-        log.info(
-            "configuration in force",
-            extra={
-                "version": manifest.version,
-                "former_version": self.version,
-                "epoch": record.epoch,
-                "revision": record.revision,
-                "routes": len(routes),
-            },
-        )
-        self.version = manifest.version
-
     def _list_targets_of_new_services(self, now_s: float) -> None:
         """List the targets whose records came before the configuration that names their service."""
-        for record in list(self._records.values()):
-            if record.key in self.targets or record.key in self._transition.withheld_until_s:
-                continue
+        skipped = {self.config.key, *self.targets, *self._transition.withheld_until_s}
+        for record in [r for key, r in self._records.items() if key not in skipped]:
             content = self.decode(record)
             if isinstance(content, Target) and self._is_named(content):
                 self._table.list_target(content, now_s)
@@ -428,7 +398,7 @@
 
         A peer that was at least as far before the restore has already decided about those.
         """
-        missing = self._records.keys() - {record.key for record in records} - {self._config_key}
+        missing = self._records.keys() - {record.key for record in records} - {self.config.key}
         is_decided = heritage is not None and heritage.former >= self._transition.former
         if is_new_epoch and not is_decided:
             kept = self.targets.keys() | self.evacuations.list_keys()
--- a/mulberryswitch/directory/tests/test_directory.py
+++ b/mulberryswitch/directory/tests/test_directory.py
@@ -173,7 +173,7 @@
             directory.apply_records(
                 records=[record], position=Position(revision=revision), now_s=1.0
             )
-            self.assertEqual((ROUTE_HOST, 80) in directory.removed_routes, revision == 11)
+            self.assertEqual((ROUTE_HOST, 80) in directory.config.removed_routes, revision == 11)
 
 
 class TokenTest(unittest.TestCase):
--- a/mulberryswitch/directory/tests/test_restore.py
+++ b/mulberryswitch/directory/tests/test_restore.py
@@ -118,7 +118,7 @@
     def test_removed_route_stays_removed_while_the_copy_holds_it(self):
         self.restore()
         self.assertEqual(list(self.directory.routes), [(ROUTE_HOST, 8443)])
-        self.assertIn((ROUTE_HOST, 443), self.directory.removed_routes)
+        self.assertIn((ROUTE_HOST, 443), self.directory.config.removed_routes)
 
     def test_configuration_survives_a_copy_without_one(self):
         self.apply_snapshot([], Position(2, 3), now_s=RESTORED_S)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -129,7 +129,7 @@
         if packet.opens:
             return self._observe_opening(packet, now_s)
         route = self.directory.routes.get(packet.route_key)
-        if route is None and packet.route_key in self.directory.removed_routes:
+        if route is None and packet.route_key in self.directory.config.removed_routes:
             self.flows.remove(packet.flow)
             return self._reset(packet, "route removed")
         target = self.directory.find_target(packet.token)
@@ -205,7 +205,7 @@
             is_hedged=is_hedged,
         )
         self.count("flows_placed", 1)
-        if service in self.directory.cold_limits and self.directory.is_cold(target, now_s):
+        if service in self.directory.config.cold_limits and self.directory.is_cold(target, now_s):
             self.count("flows_to_cold_targets", 1)
             self.cold_gate.observe_flow(key=target.key, now_s=now_s)
         if not tried:
@@ -216,7 +216,7 @@
     def _list_admitting(self, service: str, route: Route, now_s: float) -> list[Target]:
         """Return the targets that accept a new flow of `route` now."""
         serving = self.directory.list_serving(service, now_s)
-        limit = self.directory.cold_limits.get(service)
+        limit = self.directory.config.cold_limits.get(service)
         if limit is None:
             return serving
         return [
@@ -236,7 +236,7 @@
         if self.directory.is_evacuated(service):
             self.count("openings_refused_evacuated", 1)
             return self._reset(packet, "all targets evacuated")
-        if service in self.directory.cold_limits:
+        if service in self.directory.config.cold_limits:
             self.count("openings_refused_cold", 1)
             return self._reset(packet, "only cold targets")
         return self._reset(packet, "no target")
@@ -468,7 +468,7 @@
     def _prune(self, now_s: float) -> None:
         self._pruned_s = now_s
         self.cold_gate.forget_idle(now_s)
-        self.flows.prune(now_s=now_s, idle_timeout_s=self.directory.idle_timeout_s)
+        self.flows.prune(now_s=now_s, idle_timeout_s=self.directory.config.idle_timeout_s)
         self.loads.drop_unknown(self.directory.list_tokens(), now_s)
         self._held_openings = {
             key: held
--- a/mulberryswitch/forwarding/tests/test_cold_targets.py
+++ b/mulberryswitch/forwarding/tests/test_cold_targets.py
@@ -79,7 +79,7 @@
             build_target_record("cold", 7, zone="za", cold_s=2.0),
         ]
         self.directory = build_directory(*records)
-        self.directory.cold_limits = {"feeds": ColdLimit(per_s=COLD_PER_S, start_s=2.0)}
+        self.directory.config.cold_limits = {"feeds": ColdLimit(per_s=COLD_PER_S, start_s=2.0)}
         self.ports = count(1_000)
         self.forwarder = self.build_forwarder(build_gate())
 
@@ -119,7 +119,7 @@
         self.assertGreater(sum(key == "cold" for _, key in self.play(2.5, 3.5)), 2 * LIMIT)
 
     def test_service_without_a_limit_is_not_limited(self):
-        self.directory.cold_limits = {}
+        self.directory.config.cold_limits = {}
         self.assertGreater(sum(key == "cold" for _, key in self.play(0.0, 1.0)), 2 * LIMIT)
 
     def test_what_cold_targets_cannot_take_is_refused_at_once(self):
--- a/mulberryswitch/front/tests/test_restored_store.py
+++ b/mulberryswitch/front/tests/test_restored_store.py
@@ -159,7 +159,7 @@
         self.sync = self.peers.directory_sync
         self.directory = self.sync.directory
         self.directory.position = Position(2, 15)
-        self.directory.version = 8
+        self.directory.config.version = 8
 
     def build_source(self, position: Position, **changes) -> Source:
         source = Source(
