Hedges no longer hide a target that has ended

Change: a target that loses a hedge and has not answered since is probed by the zone's next new flows, and probes are not hedged early. Ruled out: the early hedge itself as a witness (a target that is only slower would be given up and its open flows reset).

--- a/mulberryswitch/forwarding/_flows.py
+++ b/mulberryswitch/forwarding/_flows.py
@@ -59,6 +59,8 @@
         Number of retransmissions of the newest payload by the caller.
     is_hedged : bool
         Whether its last target was tried early, which says nothing against the one before.
+    is_probe : bool
+        Whether it was sent to a suspected target to see whether that answers; never hedged early.
     is_over_limit : bool
         Whether a second target was due for its opening and the budget of hedges was empty.
     is_abandoned : bool
@@ -79,6 +81,7 @@
     repeats: int = 0
     is_abandoned: bool = False
     is_hedged: bool = False
+    is_probe: bool = False
     is_over_limit: bool = False
     is_closed: bool = False
 
@@ -126,10 +129,11 @@
         is_long: bool,
         now_s: float,
         is_hedged: bool = False,
+        is_probe: bool = False,
     ) -> None:
         """Record the placement of a flow on a target, or its placement on another one.
 
-        See ``Flow`` for `tried`, `refused` and `is_hedged`.
+        See ``Flow`` for `tried`, `refused`, `is_hedged` and `is_probe`.
         """
         former = self.flows.get(packet.flow)
         opened_s = former.opened_s if former else now_s
@@ -146,6 +150,7 @@
             tried=tried,
             refused=refused,
             is_hedged=is_hedged,
+            is_probe=is_probe,
         )
         self.flows[packet.flow] = self.openings[packet.flow] = flow
         load = self.loads.get_or_create(token)
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -117,6 +117,7 @@
             hedging=self.hedging,
             count=count,
             report_unresponsive=lambda token, health: self.report_unresponsive(token, health),
+            report_suspicion=lambda token: self.report_suspicion(token),
         )
         self._held_openings: dict[FlowKey, _HeldOpening] = {}
         self._last_tick_s: float | None = None
@@ -203,6 +204,7 @@
             is_long=route.kind is TrafficKind.IDEMPOTENT,
             now_s=now_s,
             is_hedged=is_hedged,
+            is_probe=suspected is not None,
         )
         self.count("flows_placed", 1)
         if service in self.directory.config.cold_limits and self.directory.is_cold(target, now_s):
@@ -427,7 +429,7 @@
     def _hedge(self, flow: Flow, age_s: float, now_s: float) -> list[Action]:
         """Send an opening that is slow for its service to a second target, within the limit."""
         route = self.directory.routes.get(flow.opening.route_key)
-        if route is None or not route.is_retried:
+        if route is None or not route.is_retried or flow.is_probe:
             return []
         service = pick_service(route=route, flow=flow.opening.flow)
         if not self.hedging.is_due(service, age_s):
--- a/mulberryswitch/forwarding/_loads.py
+++ b/mulberryswitch/forwarding/_loads.py
@@ -178,14 +178,17 @@
         self.evidence.observe_failures([witness], now_s)
         return True
 
-    def observe_suspicion(self, now_s: float) -> None:
-        """Suspect the target after a caller retransmitted a request.
+    def observe_suspicion(self, now_s: float, since_s: float | None = None) -> None:
+        """Suspect the target after a caller retransmitted a request, or a hedge was faster.
+
+        It is not suspected if it has answered since `since_s`, or lately where that is not known.
 
         Either the target is unresponsive or the request is slow. The next opening distinguishes
         the two, since its answer does not wait for a slot; if it fails, the flow is soon placed on
         another target.
         """
-        is_silent = now_s - self.evidence.last_answer_s > REPORT_LAG_S
+        since_s = now_s - REPORT_LAG_S if since_s is None else since_s
+        is_silent = self.evidence.last_answer_s < since_s
         if is_silent and not self.evidence.do_witnesses_agree(now_s):
             self.suspected_s = now_s
 
@@ -277,9 +280,9 @@
             load = self._loads[token] = TargetLoad()
         return load
 
-    def observe_suspicion(self, token: int, now_s: float) -> None:
-        """Suspect a target after a caller of this VM or of a peer retransmitted a request."""
-        self.get_or_create(token).health.observe_suspicion(now_s)
+    def observe_suspicion(self, token: int, now_s: float, since_s: float | None = None) -> None:
+        """Suspect a target after a sign of silence at this VM or at a peer; see `TargetHealth`."""
+        self.get_or_create(token).health.observe_suspicion(now_s, since_s)
         self._suspected.add(token)
 
     def list_suspected(self, now_s: float) -> list[int]:
--- a/mulberryswitch/forwarding/_openings.py
+++ b/mulberryswitch/forwarding/_openings.py
@@ -37,6 +37,8 @@
         ``count(name, amount)`` adds to a counter.
     report_unresponsive : callable
         Tells other VMs about a target that does not answer; called with its token and health.
+    report_suspicion : callable
+        Asks the VMs of this zone to probe the target with the given token.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         hedging: Hedging,
         count: Callable[[str, int], None],
         report_unresponsive: Callable[[int, TargetHealth], None],
+        report_suspicion: Callable[[int], None],
     ):
         self.vm = vm
         self.directory = directory
@@ -57,6 +60,7 @@
         self.hedging = hedging
         self.count = count
         self.report_unresponsive = report_unresponsive
+        self.report_suspicion = report_suspicion
 
     def list_late(self, now_s: float) -> list[Flow]:
         """Return the flows whose opening the only target so far has not answered in time."""
@@ -146,7 +150,16 @@
         self.count("hedges_won", 1)
         first = self.directory.targets.get(flow.tried[-1])
         if first is not None:
-            self._get_health(first).observe_lost_hedge(since_s=flow.opened_s, now_s=now_s)
+            self._observe_lost_hedge(first, flow, now_s)
+
+    def _observe_lost_hedge(self, first: Target, flow: Flow, now_s: float) -> None:
+        """Have a target probed that a hedge has beaten: it may have ended, or only be slower."""
+        token = build_token(first.identity)
+        health = self._get_health(first)
+        health.observe_lost_hedge(since_s=flow.opened_s, now_s=now_s)
+        if health.evidence.last_answer_s < flow.opened_s:
+            self.loads.observe_suspicion(token, now_s, flow.opened_s)
+            self.report_suspicion(token)
 
     def _list_tokens(self, keys: tuple[str, ...]) -> list[int]:
         """Return the tokens of those targets that are still listed."""
--- a/mulberryswitch/forwarding/tests/test_hedging.py
+++ b/mulberryswitch/forwarding/tests/test_hedging.py
@@ -189,6 +189,15 @@
         health = self.forwarder.loads.get_or_create(token_of("t1")).health
         self.assertTrue(health.is_ejected(self.now_s) or health.ejection_s)
 
+    def test_a_target_that_has_ended_still_gets_witnesses(self):
+        """Else the requests of its open flows hang until their deadline."""
+        self.play(200)
+        for _ in range(20):
+            self.play_opening(slow={"t1": 60.0})
+            self.now_s += 0.002
+        health = self.forwarder.loads.get_or_create(token_of("t1")).health
+        self.assertTrue(health.evidence.list_witnesses(self.now_s))
+
     def test_last_target_is_not_paid_for_without_another(self):
         self.directory = build_fleet("t1")
         self.set_limits(HedgeLimits(share=0.1))
