Owners of cold targets are looked up once for each change of the members; benchmark of the new parts

Looking up the owners of 100 targets took 20 ms and was repeated ten times a second; it is kept while the candidates stay the same.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -3,7 +3,15 @@
 import importlib
 import sys
 
-NAMES = ("forwarding", "routing", "requests", "membership", "platform_timers", "configuration")
+NAMES = (
+    "forwarding",
+    "routing",
+    "requests",
+    "membership",
+    "platform_timers",
+    "configuration",
+    "hard_load",
+)
 
 
 def main() -> None:
--- a/mulberryswitch/vms/_claims.py
+++ b/mulberryswitch/vms/_claims.py
@@ -4,7 +4,7 @@
 that has just started. The price is that a key has no owner for a while after a change.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from ._owners import Member, rank_members
 
@@ -38,6 +38,8 @@
         # Since when this VM has run without a pause and seen a majority.
         self._ready_since_s: float | None = None
         self._updated_s = float("-inf")
+        # Those that may act as owners, and the keys that were looked up since these changed.
+        self._candidates: tuple[str, ...] = ()
         self._owned: dict[str, bool] = {}
 
     def observe_members(self, members: Iterable[Member], now_s: float) -> None:
@@ -45,13 +47,16 @@
         if now_s - self._updated_s > PAUSE_S:
             self._ready_since_s = None
         self._updated_s = now_s
-        self._owned.clear()
         live = {member.vm: member for member in members if member.zone == self.zone}
         self._members |= live
         self._seen_s |= dict.fromkeys(live, now_s)
         old = [vm for vm, seen_s in self._seen_s.items() if now_s - seen_s > QUORUM_MEMORY_S]
         for vm in old:
             del self._seen_s[vm], self._members[vm]
+        candidates = tuple(vm for vm, s in self._seen_s.items() if now_s - s <= CLAIM_DELAY_S)
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._owned.clear()
         if self.vm not in live or 2 * len(live) <= len(self._seen_s):
             self._ready_since_s = None
         elif self._ready_since_s is None:
@@ -62,7 +67,7 @@
         if not self.can_own(now_s):
             return False
         if key not in self._owned:
-            candidates = self._list_seen_within(CLAIM_DELAY_S, now_s)
+            candidates = [self._members[vm] for vm in self._candidates]
             self._owned[key] = rank_members(key=key, members=candidates)[0].vm == self.vm
         return self._owned[key]
 
@@ -75,6 +80,3 @@
         if self._ready_since_s is None or now_s - self._updated_s > PAUSE_S:
             return False
         return now_s - self._ready_since_s >= READY_DELAY_S and len(self._seen_s) > 1
-
-    def _list_seen_within(self, age_s: float, now_s: float) -> Sequence[Member]:
-        return [self._members[vm] for vm, s in self._seen_s.items() if now_s - s <= age_s]
