Witnesses of long before a record lapses do not end open flows

Found by reading the diff: witnesses that agreed once stood until the next answer, however late. A target without traffic whose record lapses a minute later, as it cannot reach the store, would lose its open flows at once instead of being checked by a request. They count within 10 s before the lapse now.

--- a/mulberryswitch/forwarding/_evidence.py
+++ b/mulberryswitch/forwarding/_evidence.py
@@ -27,6 +27,9 @@
 ZONE_SILENCE_S = 0.6
 # A request of a target without a record may still be at work for this long.
 LAPSED_SILENCE_S = 2.5
+# A record lapses some seconds after its target has ended. Witnesses that agreed longer before that
+# speak of something else.
+GIVEN_UP_MEMORY_S = 10.0
 MAX_WITNESSES = 16
 
 
@@ -116,14 +119,14 @@
         is_heard = peers_heard_s >= since_s + PEER_DATA_LAG_S
         return is_heard and peers_heard_s - self.peer_answered_s >= ZONE_SILENCE_S
 
-    def is_gone_without_record(self, *, since_s: float, now_s: float) -> bool:
-        """Return whether a target whose record lapsed has ended.
+    def is_gone_without_record(self, *, since_s: float, departed_s: float, now_s: float) -> bool:
+        """Return whether a target whose record lapsed at `departed_s` has ended.
 
         A target that only cannot reach the store loses its record too, so a missing record is
         followed by a check of the target itself: a request to it, sent at `since_s`. Silence before
         that request is none, since there may have been nothing to answer.
         """
-        if self.given_up_s > self.last_answer_s:
+        if self.given_up_s > max(self.last_answer_s, departed_s - GIVEN_UP_MEMORY_S):
             return True
         # An acknowledgement that came with the request belongs to an earlier one.
         if self.last_answer_s > since_s or now_s - since_s <= LAPSED_SILENCE_S:
--- a/mulberryswitch/forwarding/_forwarder.py
+++ b/mulberryswitch/forwarding/_forwarder.py
@@ -356,7 +356,9 @@
             return True
         health = self.loads.get_or_create(build_token(departure.target.identity)).health
         since_s = flow.sent_s if flow is not None and flow.busy else now_s
-        return health.evidence.is_gone_without_record(since_s=since_s, now_s=now_s)
+        return health.evidence.is_gone_without_record(
+            since_s=since_s, departed_s=departure.departed_s, now_s=now_s
+        )
 
     def _observe_departed_answer(self, departure: Departure, token: int, now_s: float) -> None:
         """Use a target again for new flows if it has answered since its record lapsed."""
--- a/mulberryswitch/forwarding/tests/test_evidence.py
+++ b/mulberryswitch/forwarding/tests/test_evidence.py
@@ -77,6 +77,13 @@
         self.request(10.0, sequence=150, acknowledged=90)
         self.assertIsInstance(self.request(11.8, sequence=150, acknowledged=90)[0], Forward)
 
+    def test_witnesses_of_long_before_do_not_count(self):
+        """The record may lapse much later, because the target cannot reach the store."""
+        evidence = self.forwarder.loads.get_or_create(token_of("t2")).health.evidence
+        evidence.observe_failures(build_witnesses(("a", 1), ("b", 2)), 0.5)
+        evidence.given_up_s -= 20.0
+        self.assertIsInstance(self.request(9.0)[0], Forward)
+
     def test_a_target_that_witnesses_gave_up_is_gone_at_once(self):
         evidence = self.forwarder.loads.get_or_create(token_of("t2")).health.evidence
         evidence.observe_failures(build_witnesses(("a", 1), ("b", 2)), 2.0)
