--- a/mulberryswitch/vms/__init__.py
+++ b/mulberryswitch/vms/__init__.py
@@ -8,14 +8,14 @@
 from ._silence import SilenceDetector
 
 __all__ = [
-    "VmListEntry",
+    "READERS_PER_ZONE",
     "Member",
     "Membership",
-    "READERS_PER_ZONE",
+    "OutgoingDatagram",
     "OwnershipClaims",
     "PauseDetector",
-    "OutgoingDatagram",
     "SilenceDetector",
+    "VmListEntry",
     "pick_owner",
     "pick_readers",
     "pick_standbys",
