--- a/mulberryswitch/directory/_directory.py
+++ b/mulberryswitch/directory/_directory.py
@@ -139,6 +139,8 @@
 
     def is_evacuated(self, service: str) -> bool:
         """Return whether `service` has targets, all of them in evacuated zones."""
+        if not self.evacuations.zones:
+            return False
         zones = {t.zone for t in self.targets.values() if t.service == service}
         return bool(zones) and zones <= self.evacuations.zones
 
