The test of SIGHUP at a start uses an address of its own

The second one could not bind ("address already in use"), and while its event loop closed, asyncio gave SIGHUP its default action back, so the next signal ended it with -1.

Ruled out: a signal before the first statement (the test waits until the process ignores it); the change from ignoring to the loop's handler, which has no default in between.

Change: an address by process id; the check is as strict as before. Open: a VM that is ending anyway can still be ended by SIGHUP while its loop closes.

--- a/mulberryswitch/platform/tests/test_start.py
+++ b/mulberryswitch/platform/tests/test_start.py
@@ -26,6 +26,12 @@
     return any(mask & 1 << (signal.SIGHUP - 1) for mask in masks)
 
 
+def build_own_host() -> str:
+    """Return a loopback address that no other test process uses; the ports are fixed."""
+    pid = os.getpid()
+    return f"127.{77 + (pid >> 16) % 100}.{(pid >> 8) % 256}.{pid % 254 + 1}"
+
+
 class StartTest(unittest.TestCase):
     """A settings file may change, with SIGHUP, while a process starts."""
 
@@ -43,7 +49,7 @@
     def test_sighup_during_the_imports_does_not_end_the_process(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "node.conf"
-            path.write_text(SETTINGS_TEXT.replace("10.1.0.10", "127.0.0.1"))
+            path.write_text(SETTINGS_TEXT.replace("10.1.0.10", build_own_host()))
             process = subprocess.Popen(
                 [sys.executable, "-m", "mulberryswitch.platform"],
                 env=os.environ | {"MULBERRYSWITCH_CONFIG": str(path)},
