--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,76 +1,92 @@
-"""Another writer's entry without `born` passes as an endpoint: requests run at the wrong service."""
+"""A requester uses its ports again, and machines send the new flows to where the old ones went, though
+that endpoint has been draining for longer than `drainMs`.
+
+The machines missed the end of the old flows: they carried them only while a neighbour was restarted.
+"""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lab2"))
 
-from lab import TROUBLE, ZONES, FlowFailed, run_case  # noqa: E402
+from lab import TROUBLE, add_small_service, open_flows, run_case  # noqa: E402
 
-FEEDS, SCANS = ("198.18.0.1", 8443), ("198.18.0.2", 8443)
-SERVICE_OF = {FEEDS: "atelier", SCANS: "scanvault"}
-WRITES = 4
-PAUSE_S = 4.0
+ROUTE = ("198.18.0.1", 8443)
+ROLLED = "front-tw-north-a-1"
+STABLE_WINDOW_S = 4.0
+DRAIN_S = 3.0
+PORTS = range(40_001, 40_061)
 
 
 async def play(lab):
-    lab.write_config(
-        7,
-        [("r-reports", *FEEDS, "unsafe", "atelier"), ("r-scans", *SCANS, "unsafe", "scanvault")],
-        ["atelier", "scanvault"],
-    )
+    lab.write_config(7, [("r-reports", *ROUTE, "unsafe", "atelier")], ["atelier"])
     await lab.start()
-    for n in range(1, 8):
-        await lab.add_endpoint(f"i-7f3a91c{n}", "atelier", ZONES[n % 3], n)
-    for n in range(8, 12):
-        await lab.add_endpoint(f"i-7f3a91c{n:x}", "scanvault", ZONES[n % 3], n)
-    requesters = [await lab.add_requester(n + 1, zone) for n, zone in enumerate(ZONES)]
+    endpoints = await add_small_service(lab, "atelier")
+    requester = await lab.add_requester(1, "tw-north-a")
     await lab.wait_ready()
-    await asyncio.sleep(5.0)
-    stop = asyncio.Event()
-    users = [
-        asyncio.create_task(use(requester, route, first_port, stop))
-        for requester in requesters
-        for route, first_port in ((FEEDS, 30_001), (SCANS, 40_001))
-    ]
-    for n in range(WRITES):
-        endpoint = lab.endpoints[f"i-7f3a91c{n + 1}"]
-        beats = endpoint.sequence
-        while endpoint.sequence == beats:
-            await asyncio.sleep(0.01)
-        if TROUBLE:
-            entry = {name: v for name, v in endpoint.entry().items() if name != "born"}
-            lab.store.put(f"servers/{endpoint.name}", entry | {"service": "scanvault"})
-            endpoint._in_store = None
-            lab.record.add(f"== another writer has written {endpoint.name} without `born`")
-        await asyncio.sleep(PAUSE_S)
-    stop.set()
-    await asyncio.gather(*users)
-    judge(lab)
-
-
-async def use(requester, route, port, stop):
-    """Send one request a flow, each flow from a port of its own."""
-    while not stop.is_set():
-        port += 1
-        try:
-            flow = await requester.open(port, route)
-            await flow.request("POST")
-            await flow.close()
-        except FlowFailed as exc:
-            requester.lab.record.add(f"port {port}: opening failed: {exc}")
-        await asyncio.sleep(0.05)
-
-
-def judge(lab):
-    """ROUTE: no request is run by a service to which no manifest allows it to go."""
-    for at_s, endpoint, key, request_id in lab.runs:
-        allowed = SERVICE_OF[key[2:]]
-        if endpoint.service != allowed:
+    await asyncio.sleep(STABLE_WINDOW_S + 1.0)
+
+    lab.record.add("== flows are opened, and carry a request each")
+    flows = await open_flows(requester, ROUTE, PORTS)
+    await asyncio.gather(*(flow.request("POST") for flow in flows))
+
+    vm = lab.vms[ROLLED]
+    restart = await roll(lab, vm)
+    lab.record.add("== meanwhile the flows carry a second request each")
+    await asyncio.gather(*(flow.request("POST") for flow in flows))
+    await finish(lab, vm, restart)
+    lab.record.add("== the flows carry a third request each and are closed by both ends")
+    await asyncio.gather(*(flow.request("POST") for flow in flows))
+    closed = await asyncio.gather(*(flow.close() for flow in flows))
+    lab.record.add(f"{sum(closed)} of {len(flows)} flows closed by both ends")
+
+    leaving = endpoints[0]
+    lab.record.add(f"== {leaving.name} is emptied (scale_in)")
+    leaving.drain()
+    await asyncio.sleep(DRAIN_S)
+    restart = await roll(lab, vm)
+    lab.record.add("== new flows from the same ports, with a request each")
+    flows = await open_flows(requester, ROUTE, PORTS)
+    await asyncio.gather(*(flow.request("POST") for flow in flows))
+    await asyncio.gather(*(flow.close() for flow in flows))
+    await finish(lab, vm, restart)
+    judge(lab, leaving)
+
+
+async def roll(lab, vm):
+    """Stop a machine and start it again; return once the routers have taken it out of rotation."""
+    if not TROUBLE:
+        lab.record.add("== no trouble")
+        return asyncio.create_task(asyncio.sleep(2.5))
+    lab.record.add(f"== {vm.name} is stopped and started again (roll_term)")
+    restart = asyncio.create_task(vm.restart(signal.SIGTERM))
+    while lab.router.misses[vm.name] < 2:
+        await asyncio.sleep(0.01)
+    return restart
+
+
+async def finish(lab, vm, restart):
+    """Wait until the machine is back in rotation."""
+    await restart
+    while lab.router.misses[vm.name]:
+        await asyncio.sleep(0.01)
+
+
+def judge(lab, leaving):
+    """DRAIN: no opening packet at the endpoint later than drainMs after the store's confirmation."""
+    for at_s, sent_s, endpoint, key, vm in lab.openings:
+        if endpoint is not leaving or vm not in lab.vms:
+            continue
+        late_s = at_s - leaving.drain_confirmed_s
+        if late_s > DRAIN_S and lab.vms[vm].is_calm(at_s - STABLE_WINDOW_S, at_s):
+            ran = any(e is leaving and k == key and t >= at_s for t, e, k, _ in lab.runs)
             lab.violation(
-                "ROUTE",
-                f"{at_s:.3f} {endpoint.name} of {endpoint.service} ran {request_id} for {allowed}",
+                "DRAIN",
+                f"{leaving.name} got the opening of {lab.flow_text(key)} from {vm}"
+                f" {late_s:.2f} s after the store confirmed that it drains"
+                f" (sent {at_s - sent_s:.3f} s before; its request {'ran' if ran else 'did not run'})",
             )
 
 
