--- a/review/8/play.py
+++ b/review/8/play.py
@@ -13,7 +13,7 @@
 
 from lab import TROUBLE, add_small_service, open_flows, run_case  # noqa: E402
 
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.250.0.1", 8443)
 ROLLED = "front-tw-north-a-1"
 STABLE_WINDOW_S = 4.0
 DRAIN_S = 3.0
